--- /dev/null
+++ b/cmd/filbertturn/main.go
@@ -0,0 +1,4 @@
+// Command filbertturn is a node of the proxy fleet and its operators' tool.
+package main
+
+func main() {}
