Add the backend server stand-in

The fleet needs backend servers that fail in gray ways on demand, and that keep their own record of what they ran, to check refusals against.

--- /dev/null
+++ b/cmd/standin/backend.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"filbertturn.example/filbertturn/internal/standin/backend"
+)
+
+// backendCommand returns the command that runs one backend server.
+func backendCommand() *cobra.Command {
+	var s backend.Settings
+	var listen string
+	var announce []string
+	c := &cobra.Command{
+		Use:   "backend",
+		Short: "Run a backend server; SIGTERM drains it, a second one ends it",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if s.Listen, err = netip.ParseAddrPort(listen); err != nil {
+				return fmt.Errorf("--listen: %w", err)
+			}
+			if s.Announce, err = parseAddresses("--announce", announce); err != nil {
+				return err
+			}
+			return runBackend(c, backend.New(s))
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.StringVar(&s.Service, "service", "booking", "service to announce")
+	f.StringVar(&s.DataCentre, "data-centre", "dc1", "data centre to announce")
+	f.IntVar(&s.Slots, "slots", backend.DefaultSlots, "requests that run at once")
+	f.IntVar(&s.Queue, "queue", backend.DefaultQueue, "requests that wait for a slot")
+	f.StringArrayVar(&announce, "announce", nil, "backend-facing address of a node (repeatable)")
+	f.DurationVar(&s.Latency, "latency", backend.DefaultLatency, "median time to run a request")
+	f.DurationVar(&s.StartDelay, "start-delay", 0, "time in state Starting")
+	f.DurationVar(&s.ColdStart, "cold-start", 0, "time after that during which requests run slower")
+	f.DurationVar(&s.Linger, "linger", backend.DefaultLinger, "least time in state Draining")
+	f.Uint64Var(&s.Seed, "seed", uint64(time.Now().UnixNano()), "seed of latencies and faults")
+	return c
+}
+
+func runBackend(c *cobra.Command, b *backend.Server) error {
+	if err := b.Start(); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(c.OutOrStdout(), "listening on %s\n", b.Address()); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-signals:
+		b.Drain()
+	case <-b.Done():
+		return nil
+	}
+	select {
+	case <-signals:
+		return b.Close()
+	case <-b.Done():
+		return nil
+	}
+}
+
+// parseAddresses reads the values of a repeatable flag.
+func parseAddresses(flag string, values []string) ([]netip.AddrPort, error) {
+	out := make([]netip.AddrPort, 0, len(values))
+	for _, v := range values {
+		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", flag, err)
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,23 @@
 // Command standin runs small stand-ins for the systems around the fleet.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "standin",
+		Short:         "Stand-ins for the platform, the backend servers and the callers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(backendCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
