Add the decisions of currency, acceptance, roster and placement

Cause: nodes need one rule that tells when they may act on their head, and what heads follow one another. Ruled out: locks and clocks inside; the packages take times and messages only. Change: packages placement, succession, currency, suspend, steward, codec and the messages of fleet.proto with their generated code.

--- /dev/null
+++ b/internal/fleet/codec/digest.go
@@ -0,0 +1,132 @@
+package codec
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"filbertturn.example/filbertturn/internal/fleet/currency"
+	"filbertturn.example/filbertturn/internal/fleet/fleetpb"
+)
+
+const digestMessage = "Digest"
+
+// EncodeDigest returns the bytes of d.
+func EncodeDigest(d currency.Digest) ([]byte, error) {
+	return proto.Marshal(DigestToWire(d))
+}
+
+// DecodeDigest returns the digest that b holds, or an *Error.
+func DecodeDigest(b []byte) (currency.Digest, error) {
+	if len(b) > MaxDigest {
+		return currency.Digest{}, &Error{digestMessage, "", "too long"}
+	}
+	w := new(fleetpb.Digest)
+	if err := proto.Unmarshal(b, w); err != nil {
+		return currency.Digest{}, &Error{digestMessage, "", err.Error()}
+	}
+	return DigestFromWire(w)
+}
+
+// DigestToWire returns the protobuf message of d, for use inside another one.
+func DigestToWire(d currency.Digest) *fleetpb.Digest {
+	w := &fleetpb.Digest{
+		From:     memberToWire(d.From),
+		Sequence: d.Sequence,
+		Epoch:    d.Epoch,
+		Accepted: d.Accepted,
+		Newest:   d.Newest,
+		Ages:     make([]byte, len(d.Attestations)),
+		Reached:  make([]byte, (len(d.Attestations)+7)/8),
+	}
+	if d.Proven {
+		age := max(d.ProofAge, 0)
+		w.ProofAge = uint64((age+time.Microsecond-1)/time.Microsecond) + 1
+	}
+	for i, a := range d.Attestations {
+		w.Ages[i] = byte(a.Age)
+		if a.Reached {
+			w.Reached[i/8] |= 1 << (i % 8)
+		}
+	}
+	for _, n := range d.Joining {
+		w.Joining = append(w.Joining, &fleetpb.Newcomer{Member: memberToWire(n.Member), Age: uint32(n.Age)})
+	}
+	for _, m := range d.Resigned {
+		w.Resigned = append(w.Resigned, memberToWire(m))
+	}
+	return w
+}
+
+// DigestFromWire returns the digest that w holds, or an *Error.
+func DigestFromWire(w *fleetpb.Digest) (currency.Digest, error) {
+	from, err := memberFromWire(digestMessage, "from", w.GetFrom())
+	if err != nil {
+		return currency.Digest{}, err
+	}
+	if err := checkDigest(w); err != nil {
+		return currency.Digest{}, err
+	}
+	d := currency.Digest{
+		From:     from,
+		Sequence: w.GetSequence(),
+		Epoch:    w.GetEpoch(),
+		Accepted: w.GetAccepted(),
+		Newest:   w.GetNewest(),
+	}
+	if age := w.GetProofAge(); age > 0 {
+		d.Proven = true
+		d.ProofAge = time.Duration(age-1) * time.Microsecond
+	}
+	d.Attestations = make([]currency.Attestation, len(w.GetAges()))
+	for i, age := range w.GetAges() {
+		reached := w.GetReached()[i/8]&(1<<(i%8)) != 0
+		d.Attestations[i] = currency.Attestation{Age: currency.Age(age), Reached: reached}
+	}
+	if err := digestLists(&d, w); err != nil {
+		return currency.Digest{}, err
+	}
+	return d, nil
+}
+
+// maxProofAge bounds the age of a proof on the wire, in microseconds.
+const maxProofAge = uint64(time.Hour / time.Microsecond)
+
+func checkDigest(w *fleetpb.Digest) error {
+	switch {
+	case len(w.GetAges()) > MaxMembers:
+		return &Error{digestMessage, "ages", "too many"}
+	case len(w.GetReached()) != (len(w.GetAges())+7)/8:
+		return &Error{digestMessage, "reached", "length does not match that of ages"}
+	case w.GetProofAge() > maxProofAge:
+		return &Error{digestMessage, "proof_age", "too great"}
+	case len(w.GetJoining()) > currency.MaxNewcomers:
+		return &Error{digestMessage, "joining", "too many"}
+	case len(w.GetResigned()) > currency.MaxResigned:
+		return &Error{digestMessage, "resigned", "too many"}
+	}
+	return nil
+}
+
+func digestLists(d *currency.Digest, w *fleetpb.Digest) error {
+	for i, n := range w.GetJoining() {
+		field := fmt.Sprintf("joining[%d]", i)
+		m, err := memberFromWire(digestMessage, field, n.GetMember())
+		if err != nil {
+			return err
+		}
+		if n.GetAge() > uint32(currency.NoAge) {
+			return &Error{digestMessage, field + ".age", "above 255"}
+		}
+		d.Joining = append(d.Joining, currency.Newcomer{Member: m, Age: currency.Age(n.GetAge())})
+	}
+	for i, r := range w.GetResigned() {
+		m, err := memberFromWire(digestMessage, fmt.Sprintf("resigned[%d]", i), r)
+		if err != nil {
+			return err
+		}
+		d.Resigned = append(d.Resigned, m)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/placement/placement_test.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+)
+
+// fleet returns n members spread over six data centres.
+func fleet(n int) []member.Member {
+	out := make([]member.Member, n)
+	for i := range out {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		out[i] = member.Member{Address: address, Incarnation: 1, DataCentre: fmt.Sprintf("dc%d", i%6)}
+	}
+	return out
+}
+
+func TestRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(1, 60).Draw(t, "members"))
+		key := rapid.String().Draw(t, "key")
+		want := Rank(key, members)
+
+		shuffled := rapid.Permutation(members).Draw(t, "shuffled")
+		if got := Rank(key, shuffled); !slices.Equal(got, want) {
+			t.Fatalf("order depends on the order of members: got %v, want %v", got, want)
+		}
+		// A restart moves nothing, and a member that leaves moves only its own keys.
+		gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
+		shuffled[gone].Incarnation++
+		if got := Rank(key, shuffled); got[0].Address != want[0].Address {
+			t.Fatalf("restart moved the key: got %v, want %v", got[0], want[0])
+		}
+		left := slices.Delete(slices.Clone(shuffled), gone, gone+1)
+		if got := Rank(key, left); len(got) > 0 && want[0].Address != shuffled[gone].Address && got[0].Address != want[0].Address {
+			t.Fatalf("leaving member moved another's key: got %v, want %v", got[0], want[0])
+		}
+
+		near := Nearest(key, "dc2", members)
+		isNear := func(m member.Member) bool { return m.DataCentre == "dc2" }
+		wantNear := slices.Concat(slices.DeleteFunc(slices.Clone(want), func(m member.Member) bool { return !isNear(m) }),
+			slices.DeleteFunc(slices.Clone(want), isNear))
+		if !slices.Equal(near, wantNear) {
+			t.Fatalf("Nearest: got %v, want %v", near, wantNear)
+		}
+		var wantHomes []member.Member
+		for i := range min(6, len(members)) {
+			dc := fmt.Sprintf("dc%d", i)
+			wantHomes = append(wantHomes, Nearest(key, dc, members)[0])
+		}
+		if got := Homes(key, shuffled[:0:0]); len(got) != 0 {
+			t.Fatalf("homes of an empty roster: got %v", got)
+		}
+		if got := Homes(key, members); !slices.Equal(got, wantHomes) {
+			t.Fatalf("Homes: got %v, want %v", got, wantHomes)
+		}
+	})
+}
+
+// TestRank_spread checks that each member gets its share of many keys within a
+// fifth.
+func TestRank_spread(t *testing.T) {
+	members := fleet(49)
+	const keys = 49 * 1000
+	count := make(map[member.Member]int)
+	for i := range keys {
+		count[Rank(strings.Repeat("k", i%7)+fmt.Sprint(i), members)[0]]++
+	}
+	for _, m := range members {
+		if got := count[m]; got < 800 || got > 1200 {
+			t.Errorf("%v: got %d keys, want about 1000", m, got)
+		}
+	}
+}
+
+func BenchmarkRank(b *testing.B) {
+	members := fleet(490)
+	for b.Loop() {
+		Rank("customer-17", members)
+	}
+}
+
+func BenchmarkHomes(b *testing.B) {
+	members := fleet(490)
+	for b.Loop() {
+		Homes("customer-17", members)
+	}
+}
--- /dev/null
+++ b/internal/fleet/succession/succession.go
@@ -0,0 +1,135 @@
+// Package succession derives one head from another, and tells when a head is
+// accepted.
+package succession
+
+import (
+	"slices"
+
+	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+)
+
+// Change is what a new head changes. A zero field changes nothing.
+type Change struct {
+	Revision uint64          // Number of the published set; must be higher than that of the base.
+	Manifest string          // Content address of the manifest of that set.
+	Join     []member.Member // Members to add to the roster.
+	Leave    []member.Member // Members to remove from the roster; they may still be running.
+	Ended    []member.Member // Members known to have stopped for ever; they leave the roster as well.
+}
+
+// Next returns the head that follows base. The argument accepted tells whether
+// base is known to be accepted; false is always safe, and only makes the next
+// head need more members. A base of sequence zero stands for an empty store.
+func Next(base head.Head, accepted bool, change Change) head.Head {
+	next := head.Head{
+		Sequence: base.Sequence + 1,
+		Revision: base.Revision,
+		Manifest: base.Manifest,
+		Epoch:    base.Epoch,
+		Roster:   nextRoster(base.Roster, change),
+		Pending:  nextPending(base, accepted),
+	}
+	if change.Revision > base.Revision {
+		next.Revision = change.Revision
+		next.Manifest = change.Manifest
+	}
+	if !slices.Equal(next.Roster, base.Roster) {
+		next.Epoch++
+	}
+	next.Ended = nextEnded(base.Ended, change.Ended, next.Pending)
+	return next
+}
+
+// nextRoster returns the changed roster in the order of Member.Compare. An older
+// incarnation leaves when a newer one joins at its address.
+func nextRoster(roster []member.Member, change Change) []member.Member {
+	all := slices.Concat(roster, change.Join)
+	out := make([]member.Member, 0, len(all))
+	leave := set(change.Leave, change.Ended)
+	for _, m := range all {
+		if !leave[m] {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, member.Member.Compare)
+	last := 0
+	for i, m := range out {
+		if i > 0 && m.Address == out[last-1].Address {
+			last--
+		}
+		out[last] = m
+		last++
+	}
+	return out[:last]
+}
+
+func nextPending(base head.Head, accepted bool) [][]member.Member {
+	var pending [][]member.Member
+	if !accepted {
+		pending = slices.Clone(base.Pending)
+	}
+	if len(base.Roster) == 0 {
+		return pending
+	}
+	for _, roster := range pending {
+		if slices.Equal(roster, base.Roster) {
+			return pending
+		}
+	}
+	return append(pending, base.Roster)
+}
+
+// nextEnded keeps only members of pending, since no other matters.
+func nextEnded(base, added []member.Member, pending [][]member.Member) []member.Member {
+	counted := set(pending...)
+	var out []member.Member
+	for _, m := range slices.Concat(base, added) {
+		if counted[m] {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, member.Member.Compare)
+	return slices.Compact(out)
+}
+
+func set(lists ...[]member.Member) map[member.Member]bool {
+	out := make(map[member.Member]bool)
+	for _, list := range lists {
+		for _, m := range list {
+			out[m] = true
+		}
+	}
+	return out
+}
+
+// Accepted reports whether at least half of every roster in h.Pending has moved:
+// it runs h or a later head, or it has ended. The function moved tells what the
+// caller knows beyond h itself; the caller need not look at h.Ended or at newer
+// incarnations in h.Roster.
+func Accepted(h head.Head, moved func(member.Member) bool) bool {
+	ended := set(h.Ended)
+	for _, roster := range h.Pending {
+		n := 0
+		for _, m := range roster {
+			if ended[m] || replaced(m, h.Roster) || moved(m) {
+				n++
+			}
+		}
+		if 2*n < len(roster) {
+			return false
+		}
+	}
+	return true
+}
+
+// replaced reports whether the sorted roster has a newer incarnation of m.
+func replaced(m member.Member, roster []member.Member) bool {
+	i, _ := slices.BinarySearchFunc(roster, m, member.Member.Compare)
+	for ; i < len(roster) && roster[i].Address == m.Address; i++ {
+		if roster[i].Incarnation > m.Incarnation {
+			return true
+		}
+	}
+	return false
+}
