--- /dev/null
+++ b/internal/config/check/check.go
@@ -0,0 +1,228 @@
+// Package check finds everything that is wrong with a configuration set.
+package check
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"filbertturn.example/filbertturn/internal/config/set"
+)
+
+// Bounds of a set.
+const (
+	MaxNameSize   = 63  // Longest name, in bytes.
+	MaxPrefixSize = 256 // Longest prefix of a route, in bytes.
+	MaxTextSize   = 256 // Longest text of a probe, in bytes.
+	MaxMethods    = 16  // Most methods of one list.
+	MaxReferences = 256 // Most names of one list.
+	MaxTimeout    = time.Hour
+	MaxQueueWait  = time.Minute
+	MaxRate       = 1e9 // Requests per second.
+	MaxBurst      = 1_000_000_000
+
+	MaxRoutes    = 10_000
+	MaxCustomers = 100_000
+	MaxKeys      = 100_000
+	MaxLimits    = 10_000
+	MaxPools     = 2_000
+	MaxOperators = 2_000
+)
+
+// Problem is one error in a set.
+type Problem struct {
+	Kind       string // Kind of the object, such as Route.
+	Name       string // Name of the object.
+	Field      string // Field that is wrong.
+	Message    string
+	Suggestion string `json:",omitempty"` // What may have been meant.
+}
+
+// String returns one line, such as: Route orders: Pool: no Pool is named "bil";
+// did you mean "bill"?
+func (p Problem) String() string {
+	line := fmt.Sprintf("%s %s: %s: %s", p.Kind, display(p.Name), p.Field, p.Message)
+	if p.Suggestion != "" {
+		line += fmt.Sprintf("; did you mean %q?", p.Suggestion)
+	}
+	return line
+}
+
+// Check returns every problem of the set, in the order of its objects; none
+// means that the set may be published.
+func Check(s set.Set) []Problem {
+	c := &checker{hashes: map[string]string{}}
+	routes := names(c, "Route", s.Routes, MaxRoutes, func(o set.Route) string { return o.Name })
+	customers := names(c, "Customer", s.Customers, MaxCustomers, func(o set.Customer) string { return o.Name })
+	names(c, "Key", s.Keys, MaxKeys, func(o set.Key) string { return o.Name })
+	limits := names(c, "Limit", s.Limits, MaxLimits, func(o set.Limit) string { return o.Name })
+	pools := names(c, "Pool", s.Pools, MaxPools, func(o set.Pool) string { return o.Name })
+	names(c, "Operator", s.Operators, MaxOperators, func(o set.Operator) string { return o.Name })
+
+	c.routes(s.Routes, pools)
+	for _, o := range s.Customers {
+		c.at("Customer", o.Name)
+		c.reference("Limit", o.Limit, limits)
+		c.bound("Routes", len(o.Routes), MaxReferences)
+		for _, r := range o.Routes {
+			c.reference("Routes", r, routes)
+		}
+	}
+	for _, o := range s.Keys {
+		c.at("Key", o.Name)
+		c.reference("Customer", o.Customer, customers)
+		c.hash(o.Hash)
+	}
+	for _, o := range s.Limits {
+		c.at("Limit", o.Name)
+		c.limit(o)
+	}
+	for _, o := range s.Pools {
+		c.at("Pool", o.Name)
+		c.pool(o)
+	}
+	for _, o := range s.Operators {
+		c.at("Operator", o.Name)
+		c.hash(o.Hash)
+	}
+	return c.problems
+}
+
+// checker gathers problems of the object that it stands at.
+type checker struct {
+	problems    []Problem
+	kind, name  string
+	hashes      map[string]string // Object that uses a hash.
+	suggestions int
+}
+
+func (c *checker) at(kind, name string) { c.kind, c.name = kind, name }
+
+func (c *checker) add(field, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Kind: c.kind, Name: c.name, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) bound(field string, got, most int) {
+	if got > most {
+		c.add(field, "has %d entries, at most %d", got, most)
+	}
+}
+
+// names checks the names of one kind and returns them, with their lengths
+// bounded for the suggestions.
+func names[T any](c *checker, kind string, objects []T, most int, name func(T) string) map[string]bool {
+	seen := make(map[string]bool, len(objects))
+	if len(objects) > most {
+		c.at(kind, "")
+		c.add("Name", "set has %d objects of the kind, at most %d", len(objects), most)
+	}
+	for i, o := range objects {
+		n := name(o)
+		c.at(kind, n)
+		switch {
+		case n == "":
+			c.add("Name", "is empty at object %d of the kind", i+1)
+		case !safe(n):
+			c.add("Name", "is not made of at most %d letters, digits, dots, dashes and underscores, the first a letter or digit", MaxNameSize)
+		case seen[n]:
+			c.add("Name", "is the name of another object of the kind")
+		}
+		seen[n] = true
+	}
+	return seen
+}
+
+func (c *checker) reference(field, name string, known map[string]bool) {
+	if known[name] && name != "" {
+		return
+	}
+	if name == "" {
+		c.add(field, "is empty")
+		return
+	}
+	c.add(field, "no object is named %s", display(name))
+	c.problems[len(c.problems)-1].Suggestion = c.suggest(name, known)
+}
+
+func (c *checker) hash(hash string) {
+	const size = 64 // Of a SHA-256 in hexadecimal.
+	if len(hash) != size || strings.Trim(hash, "0123456789abcdef") != "" {
+		c.add("Hash", "is not a SHA-256 of %d lower-case hexadecimal digits", size)
+		return
+	}
+	if other, used := c.hashes[hash]; used {
+		c.add("Hash", "is also the hash of %s", other)
+		return
+	}
+	c.hashes[hash] = c.kind + " " + display(c.name)
+}
+
+func (c *checker) limit(o set.Limit) {
+	if math.IsNaN(o.Rate) || o.Rate <= 0 || o.Rate > MaxRate {
+		c.add("Rate", "is %g requests per second, must be above 0 and at most %g", o.Rate, float64(MaxRate))
+	}
+	if o.Burst < 1 || o.Burst > MaxBurst {
+		c.add("Burst", "is %d, must be from 1 to %d", o.Burst, MaxBurst)
+	}
+}
+
+func (c *checker) pool(o set.Pool) {
+	if !safe(o.Service) {
+		c.add("Service", "is not the name of a service")
+	}
+	if o.Floor < 0 || o.Floor > 100 {
+		c.add("Floor", "is %d per cent, must be from 0 to 100", o.Floor)
+	}
+	if math.IsNaN(o.Threshold) || math.IsInf(o.Threshold, 0) || o.Threshold < 0 {
+		c.add("Threshold", "is %g, must not be negative", o.Threshold)
+	}
+	c.duration("QueueWait", o.QueueWait, MaxQueueWait)
+	if o.Probe.Path != "" && !probePath(o.Probe.Path) {
+		c.add("Probe.Path", "is not a path of at most %d printable characters that begins with /", MaxTextSize)
+	}
+	if len(o.Probe.Contains) > MaxTextSize || !utf8.ValidString(o.Probe.Contains) {
+		c.add("Probe.Contains", "is not a text of at most %d bytes", MaxTextSize)
+	}
+}
+
+func (c *checker) duration(field string, d, most time.Duration) {
+	if d < 0 || d > most {
+		c.add(field, "is %s, must be from 0 to %s", d, most)
+	}
+}
+
+// safe says whether a name can stand in paths, logs and tables as it is.
+func safe(name string) bool {
+	if name == "" || len(name) > MaxNameSize {
+		return false
+	}
+	for i, b := range []byte(name) {
+		if !alphanumeric(b) && (i == 0 || !strings.ContainsRune("._-", rune(b))) {
+			return false
+		}
+	}
+	return true
+}
+
+func alphanumeric(b byte) bool {
+	return '0' <= b && b <= '9' || 'A' <= b && b <= 'Z' || 'a' <= b && b <= 'z'
+}
+
+func probePath(path string) bool {
+	for _, b := range []byte(path) {
+		if b <= ' ' || b > '~' || b == '#' || b == '\\' {
+			return false
+		}
+	}
+	return len(path) <= MaxTextSize && path[0] == '/'
+}
+
+// display returns a name for messages, quoted and cut if it is not safe.
+func display(name string) string {
+	if safe(name) {
+		return name
+	}
+	return fmt.Sprintf("%.*q", MaxNameSize, name)
+}
--- /dev/null
+++ b/internal/config/check/route.go
@@ -0,0 +1,73 @@
+package check
+
+import (
+	"path"
+	"slices"
+	"strings"
+
+	"filbertturn.example/filbertturn/internal/config/set"
+)
+
+// routes checks the routes and that no two of them serve the same request.
+func (c *checker) routes(routes []set.Route, pools map[string]bool) {
+	prefixes := map[string][]set.Route{}
+	for _, o := range routes {
+		c.at("Route", o.Name)
+		c.prefix(o.Prefix)
+		c.methods("Methods", o.Methods)
+		c.methods("Idempotent", o.Idempotent)
+		for _, m := range o.Idempotent {
+			if len(o.Methods) > 0 && !slices.Contains(o.Methods, m) {
+				c.add("Idempotent", "has %s, which is not among Methods", display(m))
+			}
+		}
+		c.reference("Pool", o.Pool, pools)
+		c.duration("Timeout", o.Timeout, MaxTimeout)
+		for _, other := range prefixes[o.Prefix] {
+			if overlap(o.Methods, other.Methods) {
+				c.add("Prefix", "serves the same requests as Route %s", display(other.Name))
+				break
+			}
+		}
+		prefixes[o.Prefix] = append(prefixes[o.Prefix], o)
+	}
+}
+
+// prefix admits only characters that have one form in a URL, so that a path
+// cannot be written in another way that avoids the route.
+func (c *checker) prefix(prefix string) {
+	switch {
+	case !strings.HasPrefix(prefix, "/"):
+		c.add("Prefix", "does not begin with /")
+	case len(prefix) > MaxPrefixSize:
+		c.add("Prefix", "has %d bytes, at most %d", len(prefix), MaxPrefixSize)
+	case path.Clean(prefix) != prefix:
+		c.add("Prefix", "is not in its clean form")
+		c.problems[len(c.problems)-1].Suggestion = path.Clean(prefix)
+	case strings.IndexFunc(prefix, func(r rune) bool {
+		return r > '~' || !alphanumeric(byte(r)) && !strings.ContainsRune("/-._~", r)
+	}) >= 0:
+		c.add("Prefix", "has a character other than letters, digits and / - . _ ~")
+	}
+}
+
+func (c *checker) methods(field string, methods []string) {
+	c.bound(field, len(methods), MaxMethods)
+	for i, m := range methods {
+		switch {
+		case !safe(m) || strings.ToUpper(m) != m:
+			c.add(field, "has %s, which is not a method in upper case", display(m))
+		case m == "CONNECT" || m == "TRACE":
+			c.add(field, "has %s, which is not forwarded", m)
+		case slices.Contains(methods[:i], m):
+			c.add(field, "has %s twice", m)
+		}
+	}
+}
+
+func overlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
--- /dev/null
+++ b/internal/config/publisher/error.go
@@ -0,0 +1,90 @@
+package publisher
+
+import (
+	"fmt"
+
+	"filbertturn.example/filbertturn/internal/config/check"
+	"filbertturn.example/filbertturn/internal/config/diff"
+	"filbertturn.example/filbertturn/internal/fleet/head"
+)
+
+// ConflictError says that the base of a request is not the current revision.
+// Nothing was published.
+type ConflictError struct {
+	Base    uint64
+	Current uint64
+
+	// Changes lead from Base to Current. They are nil if the store no longer
+	// holds Base or could not be read.
+	Changes []diff.Change
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("publisher: revision %d is not the current one, which is %d", e.Base, e.Current)
+}
+
+// UnknownError says that a publish may have taken effect or may do so later.
+// The same request, with the same PublishID, finds out.
+type UnknownError struct {
+	PublishID string
+	Err       error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("publisher: outcome of publish %q is not known: %v", e.PublishID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// NotPublishedError says that a request failed and had no effect.
+type NotPublishedError struct{ Err error }
+
+func (e *NotPublishedError) Error() string { return fmt.Sprintf("publisher: not published: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *NotPublishedError) Unwrap() error { return e.Err }
+
+// InvalidError says that a set has problems. Nothing was published.
+type InvalidError struct{ Problems []check.Problem }
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("publisher: set has %d problems, the first is: %s", len(e.Problems), e.Problems[0])
+}
+
+// RequestError says that a field of a request cannot be used.
+type RequestError struct {
+	Field   string
+	Message string
+}
+
+func (e *RequestError) Error() string { return fmt.Sprintf("publisher: %s %s", e.Field, e.Message) }
+
+// ReusedError says that a PublishID was used before on the same base for a
+// different set. The earlier publish stands.
+type ReusedError struct {
+	PublishID string
+	Revision  uint64 // Revision that the earlier publish made.
+}
+
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("publisher: %q has published a different set as revision %d", e.PublishID, e.Revision)
+}
+
+// RevertedError says that the store holds an older head than the fleet runs,
+// as after the restore of a backup. Nothing can be published until Reinstate.
+type RevertedError struct {
+	Known head.Head
+	Found head.Head
+}
+
+func (e *RevertedError) Error() string {
+	return fmt.Sprintf("publisher: store is at head %d, older than head %d", e.Found.Sequence, e.Known.Sequence)
+}
+
+// ContentionError says that the head changed during every commit.
+type ContentionError struct{ Commits int }
+
+func (e *ContentionError) Error() string {
+	return fmt.Sprintf("publisher: gave up after %d commits", e.Commits)
+}
--- /dev/null
+++ b/internal/config/publisher/keeping.go
@@ -0,0 +1,137 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+
+	"filbertturn.example/filbertturn/internal/config/audit"
+	"filbertturn.example/filbertturn/internal/config/chunk"
+	"filbertturn.example/filbertturn/internal/platform/reader"
+	"filbertturn.example/filbertturn/internal/platform/store"
+)
+
+const (
+	// KeptManifests is the number of revisions whose chunks Collect keeps, so
+	// that slow readers of an older head still find them.
+	KeptManifests = 20
+
+	pageSize = 500 // Keys of one listing.
+)
+
+// Audit returns at most limit records, the newest first.
+func (p *Publisher) Audit(ctx context.Context, limit int) ([]audit.Record, error) {
+	items, err := p.Store.List(ctx, audit.Prefix, min(limit, audit.Kept), true)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]audit.Record, 0, len(items))
+	for _, i := range items {
+		r, err := audit.Decode(i.Key, i.Value)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// Collect deletes the chunks that none of the last KeptManifests revisions
+// uses, and the audit records before the last audit.Kept. It returns how many
+// it deleted.
+//
+// It runs beside publishers: a publisher writes every chunk that its base
+// lacks after the base was committed, and Collect deletes only what was last
+// written before the current revision was committed.
+func (p *Publisher) Collect(ctx context.Context) (int, error) {
+	h, _, err := p.readHead(ctx)
+	if err != nil || h.Revision == 0 {
+		return 0, err
+	}
+	item, found, err := p.Store.Get(ctx, audit.Key(h.Revision))
+	if err != nil || !found {
+		return 0, err
+	}
+	used, err := p.used(ctx, h.Manifest)
+	if err != nil {
+		return 0, err
+	}
+	chunks, err := p.sweep(ctx, reader.ChunkPrefix, func(i store.Item) bool {
+		return !used[i.Key] && i.Revision < item.Revision
+	})
+	if err != nil {
+		return chunks, err
+	}
+	records, err := p.sweep(ctx, audit.Prefix, func(i store.Item) bool {
+		revision, err := audit.Revision(i.Key)
+		return err == nil && revision+audit.Kept <= h.Revision
+	})
+	return chunks + records, err
+}
+
+// used returns the keys of the chunks and manifests of the last revisions.
+func (p *Publisher) used(ctx context.Context, current string) (map[string]bool, error) {
+	records, err := p.Audit(ctx, KeptManifests)
+	if err != nil {
+		return nil, err
+	}
+	manifests := []string{current}
+	for _, r := range records {
+		manifests = append(manifests, r.Manifest)
+	}
+	used := map[string]bool{}
+	for i, text := range manifests {
+		address, err := chunk.ParseAddress(text)
+		if err != nil {
+			return nil, err
+		}
+		m, err := reader.Reader{Store: p.Store}.Manifest(ctx, text)
+		var missing *reader.MissingError
+		if err != nil && (i == 0 || !errors.As(err, &missing)) {
+			return nil, err
+		}
+		used[reader.ChunkKey(address)] = true
+		for _, a := range m.Addresses() {
+			used[reader.ChunkKey(a)] = true
+		}
+	}
+	return used, nil
+}
+
+// sweep deletes the keys of a prefix that are chosen, each only if it was not
+// written since it was listed.
+func (p *Publisher) sweep(ctx context.Context, prefix string, chosen func(store.Item) bool) (int, error) {
+	deleted, after := 0, ""
+	for {
+		items, err := p.Store.Keys(ctx, prefix, after, pageSize)
+		if err != nil {
+			return deleted, err
+		}
+		for _, i := range items {
+			after = i.Key
+			if !chosen(i) {
+				continue
+			}
+			err := p.Store.Delete(ctx, store.Compare{Key: i.Key, Revision: i.Revision})
+			var conflict *store.ConflictError
+			switch {
+			case err == nil:
+				deleted++
+			case !errors.As(err, &conflict):
+				return deleted, err
+			}
+		}
+		if len(items) < pageSize {
+			return deleted, nil
+		}
+	}
+}
+
+// trim deletes one audit record. If it fails, Collect does so later.
+func (p *Publisher) trim(ctx context.Context, revision uint64) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, found, err := p.Store.Get(ctx, audit.Key(revision))
+	if err == nil && found {
+		_ = p.Store.Delete(ctx, store.Compare{Key: item.Key, Revision: item.Revision})
+	}
+}
--- a/internal/config/set/set.go
+++ b/internal/config/set/set.go
@@ -5,12 +5,12 @@
 
 // Set is one complete configuration. Objects refer to one another by name.
 type Set struct {
-	Routes    []Route
-	Customers []Customer
-	Keys      []Key
-	Limits    []Limit
-	Pools     []Pool
-	Operators []Operator
+	Routes    []Route    `json:",omitempty"`
+	Customers []Customer `json:",omitempty"`
+	Keys      []Key      `json:",omitempty"`
+	Limits    []Limit    `json:",omitempty"`
+	Pools     []Pool     `json:",omitempty"`
+	Operators []Operator `json:",omitempty"`
 }
 
 // Route sends requests whose path starts with Prefix to a pool. The longest
@@ -18,18 +18,18 @@
 type Route struct {
 	Name       string
 	Prefix     string        // Path prefix, matched on whole segments.
-	Methods    []string      // Methods served; empty means all.
+	Methods    []string      `json:",omitempty"` // Methods served; empty means all.
 	Pool       string        // Name of the pool.
-	Open       bool          // Served without a key.
-	Idempotent []string      // Methods that may be sent again; empty means GET, HEAD and OPTIONS.
-	Timeout    time.Duration // Longest time for a whole answer; zero means DefaultTimeout.
+	Open       bool          `json:",omitempty"` // Served without a key.
+	Idempotent []string      `json:",omitempty"` // Methods that may be sent again; empty means GET, HEAD and OPTIONS.
+	Timeout    time.Duration `json:",omitempty"` // Longest time for a whole answer; zero means DefaultTimeout.
 }
 
 // Customer is a tenant. Its limit counts across the whole fleet.
 type Customer struct {
 	Name   string
 	Limit  string   // Name of the limit.
-	Routes []string // Names of the routes it may use; empty means all.
+	Routes []string `json:",omitempty"` // Names of the routes it may use; empty means all.
 }
 
 // Key lets its bearer act as a customer. Only the hash of its secret is kept.
@@ -51,15 +51,15 @@
 	Name      string
 	Service   string        // Service that backend servers announce.
 	Floor     int           // Percentage of the pool that ejections leave in service.
-	Threshold float64       // Evidence needed for an ejection; zero means the default of the health package.
-	QueueWait time.Duration // Longest wait for a free slot; zero means DefaultQueueWait.
-	Probe     Probe
+	Threshold float64       `json:",omitempty"` // Evidence needed for an ejection; zero means the default of the health package.
+	QueueWait time.Duration `json:",omitempty"` // Longest wait for a free slot; zero means DefaultQueueWait.
+	Probe     Probe         `json:",omitzero"`
 }
 
 // Probe is a request whose answer is known, sent to each backend server.
 type Probe struct {
-	Path     string // Path to get; empty means DefaultProbePath.
-	Contains string // Text that a right answer contains; empty means that any 2xx answer is right.
+	Path     string `json:",omitempty"` // Path to get; empty means DefaultProbePath.
+	Contains string `json:",omitempty"` // Text that a right answer contains; empty means that any 2xx answer is right.
 }
 
 // Operator may publish sets. Only the hash of its token is kept.
