Add limits with shares at homes and loans to entries

Cause: a customer's rate and burst have to hold over the whole fleet, while callers connect to any node. Change: limits are split over homes, one per data centre; entries borrow tokens with an expiry.

--- /dev/null
+++ b/internal/limit/borrower/fleet_test.go
@@ -0,0 +1,238 @@
+package borrower
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"sort"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/limit/home"
+	"filbertturn.example/filbertturn/internal/limit/loan"
+	"filbertturn.example/filbertturn/internal/limit/share"
+)
+
+const customer = "lodge"
+
+var start = time.Unix(1_800_000_000, 0)
+
+// head is a published head: the customer's homes and its limit.
+type head struct {
+	homes     []member.Member
+	limit     set.Limit
+	published time.Duration
+	inForce   time.Duration // No node on a lower head is current from here on.
+}
+
+// node is one VM: an entry, and perhaps a home.
+type node struct {
+	Borrower
+	home    home.Home
+	head    int // Index of the head that it runs; -1 for none.
+	told    int // Index of the last head that it knows to be in force; -1 for none.
+	rate    float64
+	offset  time.Duration
+	frozen  time.Duration // True time until which it is frozen.
+	waiting int
+}
+
+// message is an ask, a grant or the timeout of an ask.
+type message struct {
+	due      time.Duration
+	from, to member.Member
+	ask      loan.Ask
+	grant    *loan.Grant
+	timeout  bool
+}
+
+// fleet runs nodes in true time.
+type fleet struct {
+	now      time.Duration
+	nodes    []*node
+	heads    []head
+	messages []message
+	delay    func(from, to member.Member) (time.Duration, bool) // Of a message, and whether it arrives.
+	admitted []time.Duration
+	refused  int
+	asks     int
+}
+
+func newFleet(nodes, dataCentres int, l set.Limit) *fleet {
+	f := &fleet{}
+	for i := range nodes {
+		n := &node{rate: 1, head: -1, told: -1}
+		n.Self = member.Member{
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000),
+			Incarnation: 1, DataCentre: fmt.Sprint("dc", i%dataCentres), Region: fmt.Sprint("region", i%dataCentres/2),
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	f.publish(f.pick(make([]int, dataCentres)), l, 0)
+	return f
+}
+
+// pick returns one node of each data centre; a negative number leaves it out.
+func (f *fleet) pick(choice []int) []member.Member {
+	var homes []member.Member
+	for dc, c := range choice {
+		if c >= 0 {
+			homes = append(homes, f.nodes[dc+c%(len(f.nodes)/len(choice))*len(choice)].Self)
+		}
+	}
+	return homes
+}
+
+func (f *fleet) publish(homes []member.Member, l set.Limit, until time.Duration) {
+	inForce := f.now + until
+	if n := len(f.heads); n > 0 {
+		inForce = max(inForce, f.heads[n-1].inForce)
+	}
+	f.heads = append(f.heads, head{homes: homes, limit: l, published: f.now, inForce: inForce})
+}
+
+func (f *fleet) clock(n *node) time.Time {
+	return start.Add(n.offset + time.Duration(float64(f.now)*n.rate))
+}
+
+// learn lets a node run the latest head, knowing all rosters in between or not.
+func (f *fleet) learn(n *node, rosters bool) {
+	last := len(f.heads) - 1
+	if n.head == last {
+		return
+	}
+	prior, self := n.head, n.Self
+	s := home.Step{Sequence: uint64(last + 1), Epoch: uint64(last + 1), From: uint64(last + 1)}
+	if rosters && prior >= 0 {
+		s.From = uint64(prior + 1)
+		s.Kept = func(string) bool {
+			for _, h := range f.heads[prior : last+1] {
+				if !slices.Contains(h.homes, self) {
+					return false
+				}
+			}
+			return true
+		}
+		s.Resized = func(string) bool {
+			for i := prior + 1; i <= last; i++ {
+				if f.heads[i].limit != f.heads[i-1].limit || !slices.EqualFunc(f.heads[i].homes, f.heads[i-1].homes, sameDataCentre) {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	n.home.Begin(s)
+	n.head = last
+}
+
+func sameDataCentre(a, b member.Member) bool { return a.DataCentre == b.DataCentre }
+
+// tell lets a node know which head is in force.
+func (f *fleet) tell(n *node) {
+	for i := n.told + 1; i < len(f.heads) && f.heads[i].inForce <= f.now && i <= n.head; i++ {
+		now := f.now
+		f.now = f.heads[i].inForce
+		n.home.InForce(uint64(i+1), f.clock(n))
+		f.now, n.told = now, i
+	}
+}
+
+// current reports whether a node runs the latest head in force.
+func (f *fleet) current(n *node) bool {
+	return n.head >= 0 && (n.head+1 == len(f.heads) || f.now < f.heads[n.head+1].inForce)
+}
+
+// take sends one request to a node.
+func (f *fleet) take(n *node) {
+	if n.head < 0 {
+		return
+	}
+	switch d := n.Take(f.clock(n), customer, uint64(n.head), f.heads[n.head].homes).(type) {
+	case Admitted:
+		f.admitted = append(f.admitted, f.now)
+	case Refused:
+		f.refused++
+	case Wait:
+		n.waiting++
+	case NeedLoan:
+		n.waiting++
+		f.asks++
+		f.send(message{from: n.Self, to: d.Home, ask: d.Ask})
+		f.post(message{due: f.now + AskTimeout, from: d.Home, to: n.Self, ask: d.Ask, timeout: true})
+	}
+}
+
+func (f *fleet) idle(n *node) {
+	for _, r := range n.Idle(f.clock(n)) {
+		f.send(message{from: n.Self, to: r.Home, ask: r.Ask})
+	}
+}
+
+func (f *fleet) send(m message) {
+	if d, ok := f.delay(m.from, m.to); ok {
+		m.due = f.now + d
+		f.post(m)
+	}
+}
+
+func (f *fleet) post(m message) {
+	i := sort.Search(len(f.messages), func(i int) bool { return f.messages[i].due > m.due })
+	f.messages = slices.Insert(f.messages, i, m)
+}
+
+// advance lets time pass and delivers what is due.
+func (f *fleet) advance(d time.Duration) {
+	end := f.now + d
+	for len(f.messages) > 0 && f.messages[0].due <= end {
+		m := f.messages[0]
+		f.messages = f.messages[1:]
+		f.now = max(f.now, m.due)
+		f.deliver(m)
+	}
+	f.now = end
+}
+
+func (f *fleet) deliver(m message) {
+	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.Self == m.to })
+	if i < 0 {
+		return
+	}
+	n := f.nodes[i]
+	if f.now < n.frozen {
+		m.due = n.frozen
+		f.post(m)
+		return
+	}
+	switch {
+	case m.timeout:
+		n.Failed(f.clock(n), m.from, m.ask)
+	case m.grant != nil:
+		n.Granted(f.clock(n), m.from, m.ask, *m.grant)
+	default:
+		g := loan.Grant{Sequence: m.ask.Sequence, Refusal: loan.NotCurrent}
+		if f.current(n) {
+			f.tell(n)
+			g = n.home.Serve(f.clock(n), f.share(n), m.ask)
+		}
+		if m.ask.Want > 0 {
+			f.send(message{from: n.Self, to: m.from, ask: m.ask, grant: &g})
+		}
+		return
+	}
+	waiting := n.waiting
+	n.waiting = 0
+	for range waiting {
+		f.take(n)
+	}
+}
+
+// share returns the share of a node in the head that it runs.
+func (f *fleet) share(n *node) share.Share {
+	h := f.heads[n.head]
+	if i := slices.Index(h.homes, n.Self); i >= 0 {
+		return share.Split(customer, h.limit, len(h.homes))[i]
+	}
+	return share.Share{}
+}
--- /dev/null
+++ b/internal/limit/borrower/queue.go
@@ -0,0 +1,42 @@
+package borrower
+
+import "time"
+
+// queue holds customers in the order of their due times. Each queue has one
+// delay, so that the order of arrival is that of the due times.
+type queue struct {
+	entries []entry
+}
+
+type entry struct {
+	due      time.Time
+	customer string
+}
+
+func (q *queue) push(due time.Time, customer string) {
+	q.entries = append(q.entries, entry{due: due, customer: customer})
+}
+
+// pop removes and returns the customers that are due.
+func (q *queue) pop(now time.Time) []string {
+	n := 0
+	var customers []string
+	for n < len(q.entries) && !now.Before(q.entries[n].due) {
+		customers = append(customers, q.entries[n].customer)
+		n++
+	}
+	if n == len(q.entries) {
+		q.entries = q.entries[:0]
+	} else if n > 0 {
+		q.entries = q.entries[n:]
+	}
+	return customers
+}
+
+// next returns the first due time, or zero.
+func (q *queue) next() time.Time {
+	if len(q.entries) == 0 {
+		return time.Time{}
+	}
+	return q.entries[0].due
+}
