Add the load stand-in with the measures and baselines

Figures of a policy need arrivals that do not wait for answers, checks of each answer, and the backend servers' own word on what ran. The draining loop of the backend server stand-in stood twice; Shutdown does it.

--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -33,7 +33,6 @@
 	announcePeriod  = time.Second
 	announceTimeout = 500 * time.Millisecond
 	headerTimeout   = 10 * time.Second
-	drainPoll       = 20 * time.Millisecond
 )
 
 // Settings are the settings of a backend server.
@@ -171,9 +170,6 @@
 	b.notify()
 	go func() {
 		time.Sleep(b.settings.Linger)
-		for b.gate.Load(0).InFlight > 0 {
-			time.Sleep(drainPoll)
-		}
 		_ = b.http.Shutdown(context.Background())
 	}()
 }
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/standin/arrival"
+	"filbertturn.example/filbertturn/internal/standin/backend"
+	"filbertturn.example/filbertturn/internal/standin/baseline"
+	"filbertturn.example/filbertturn/internal/standin/fault"
+)
+
+func server(t *testing.T, latency time.Duration) *backend.Server {
+	t.Helper()
+	b := backend.New(backend.Settings{Service: "booking", Latency: latency, Slots: 1, Queue: 1000})
+	if err := b.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { b.Close(); <-b.Done() })
+	return b
+}
+
+// TestGenerator_Run checks that a server which answers half as fast as requests
+// arrive delays no request, and that the wait counts as latency.
+func TestGenerator_Run(t *testing.T) {
+	b := server(t, 40*time.Millisecond)
+	var arrivals []arrival.Arrival
+	for i := range 40 {
+		arrivals = append(arrivals, arrival.Arrival{At: time.Duration(i) * 20 * time.Millisecond, Method: "POST"})
+	}
+	start := time.Now()
+	records := New(Settings{
+		Customers: []arrival.Customer{{Name: "c"}},
+		Arrivals:  arrivals,
+		Targets:   []netip.AddrPort{b.Address()},
+		Service:   "booking",
+	}).Run(t.Context(), start)
+	for _, e := range b.Report().Runs {
+		if e.CallerRequest == "" {
+			t.Errorf("got run %+v without the caller's identifier", e)
+		}
+	}
+	for i, r := range records {
+		if r.Result != Done {
+			t.Errorf("got %+v, want it done", r)
+		}
+		// One slot runs 40 ms each, so request i ends near 40 ms × (i+1).
+		if want := time.Duration(i) * 10 * time.Millisecond; r.Latency < want {
+			t.Errorf("got latency %v of request %d, want at least %v", r.Latency, i, want)
+		}
+	}
+	if got, want := time.Since(start), 40*30*time.Millisecond; got < want {
+		t.Errorf("got %v for the whole run, want at least %v", got, want)
+	}
+}
+
+// TestGenerator_Run_open checks that requests are sent at their planned moments
+// while none of those before them is answered.
+func TestGenerator_Run_open(t *testing.T) {
+	b := backend.New(backend.Settings{Service: "booking", Latency: time.Second, Slots: 10})
+	if err := b.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	var arrivals []arrival.Arrival
+	for i := range 10 {
+		arrivals = append(arrivals, arrival.Arrival{At: time.Duration(i) * 10 * time.Millisecond, Method: "GET"})
+	}
+	start := time.Now()
+	New(Settings{Customers: make([]arrival.Customer, 1), Arrivals: arrivals, Targets: []netip.AddrPort{b.Address()}}).Run(t.Context(), start)
+	runs := b.Report().Runs
+	if got, limit := runs[len(runs)-1].At.Sub(start), 300*time.Millisecond; len(runs) != 10 || got > limit {
+		t.Errorf("got %d requests, the last after %v, want 10 within %v", len(runs), got, limit)
+	}
+}
+
+func TestGenerator_Run_results(t *testing.T) {
+	b := server(t, time.Millisecond)
+	tests := []struct {
+		mode fault.Mode
+		want Result
+	}{
+		{fault.OK, Done}, {fault.Error, Failed}, {fault.Wrong, Wrong}, {fault.Crossed, Crossed},
+		{fault.Cut, Cut}, {fault.Shed, NotRun}, {fault.Hang, Unanswered},
+	}
+	for i, tt := range tests {
+		if err := b.Set(fault.Setting{Mode: tt.mode}); err != nil {
+			t.Fatal(err)
+		}
+		records := New(Settings{
+			Run:       fmt.Sprint(i),
+			Customers: []arrival.Customer{{Key: "secret"}},
+			Arrivals:  []arrival.Arrival{{Method: "GET"}},
+			Targets:   []netip.AddrPort{b.Address()},
+			Timeout:   50 * time.Millisecond,
+			Service:   "booking",
+		}).Run(t.Context(), time.Now())
+		if got := records[0].Result; got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.mode, got, tt.want)
+		}
+	}
+}
+
+func TestPlan(t *testing.T) {
+	customers := []arrival.Customer{
+		{Rate: 200, PostShare: 0.25},
+		{Rate: 20, Surge: arrival.Surge{From: 5 * time.Second, To: 10 * time.Second, Factor: 10}},
+	}
+	plan := arrival.Plan(customers, 20*time.Second, 7)
+	if !reflect.DeepEqual(plan, arrival.Plan(customers, 20*time.Second, 7)) {
+		t.Error("got two plans from one seed")
+	}
+	if reflect.DeepEqual(plan, arrival.Plan(customers, 20*time.Second, 8)) {
+		t.Error("got the same plan from two seeds")
+	}
+	var posts, calm, surge int
+	for i, a := range plan {
+		if i > 0 && a.At < plan[i-1].At {
+			t.Fatalf("got arrival %d before the one before it", i)
+		}
+		switch inside := a.At >= 5*time.Second && a.At < 10*time.Second; {
+		case a.Customer == 0 && a.Method == "POST":
+			posts++
+		case a.Customer == 1 && inside:
+			surge++
+		case a.Customer == 1:
+			calm++
+		}
+	}
+	// Expected 1000, 300 and 1000, each with a tolerance of five standard deviations.
+	if posts < 840 || posts > 1160 || calm < 213 || calm > 387 || surge < 840 || surge > 1160 {
+		t.Errorf("got %d posts, %d calm and %d surging requests, want near 1000, 300 and 1000", posts, calm, surge)
+	}
+}
+
+func TestBalancer(t *testing.T) {
+	now := time.Unix(0, 0)
+	eject, _ := baseline.New(baseline.FailuresInARow, 4, 1)
+	for range 40 {
+		i := eject.Pick(now)
+		eject.Finish(now, i, i != 0)
+	}
+	if got := eject.Ejections(); len(got) != 2 {
+		t.Errorf("got ejections %v, want two of the three that fail, by the bound", got)
+	}
+	picked := map[int]int{}
+	for range 40 {
+		i := eject.Pick(now.Add(baseline.EjectionTime))
+		picked[i]++
+	}
+	if len(picked) != 4 {
+		t.Errorf("got picks %v, want all four back in service", picked)
+	}
+	least, _ := baseline.New(baseline.LeastOutstanding, 4, 1)
+	for i := range 8 {
+		if least.Pick(now); i == 3 {
+			least.Finish(now, 2, false)
+			if got := least.Pick(now); got != 2 {
+				t.Errorf("got %d, want the idle one", got)
+			}
+		}
+	}
+	if _, err := baseline.New("other", 1, 1); err == nil {
+		t.Error("got no error for an unknown kind")
+	}
+}
