Let the stand-ins model one-way cuts and proxies with own state

A baseline that runs in one place knows more than a fleet of proxies can, and all processes on loopback share an address, so a cut between one node and one backend server could not be told by address. Cuts by source address were ruled out: a node does not bind one. The process that holds the peer's socket is found in /proc instead.

--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -18,6 +18,7 @@
 	var s backend.Settings
 	var listen string
 	var announce []string
+	var count int
 	c := &cobra.Command{
 		Use:   "backend",
 		Short: "Run a backend server; SIGTERM drains it, a second one ends it",
@@ -30,17 +31,19 @@
 			if s.Announce, err = parseAddresses("--announce", announce); err != nil {
 				return err
 			}
-			return runBackend(c, backend.New(s))
+			return runBackends(c, several(s, count))
 		},
 	}
 	f := c.Flags()
 	f.StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.IntVar(&count, "count", 1, "backend servers to run, on ports that follow one another")
 	f.StringVar(&s.Service, "service", "booking", "service to announce")
 	f.StringVar(&s.DataCentre, "data-centre", "dc1", "data centre to announce")
 	f.IntVar(&s.Slots, "slots", backend.DefaultSlots, "requests that run at once")
 	f.IntVar(&s.Queue, "queue", backend.DefaultQueue, "requests that wait for a slot")
 	f.StringArrayVar(&announce, "announce", nil, "backend-facing address of a node (repeatable)")
 	f.DurationVar(&s.Latency, "latency", backend.DefaultLatency, "median time to run a request")
+	f.DurationVar(&s.ProbeLatency, "probe-latency", backend.DefaultLatency, "median time to answer a probe")
 	f.DurationVar(&s.StartDelay, "start-delay", 0, "time in state Starting")
 	f.DurationVar(&s.ColdStart, "cold-start", 0, "time after that during which requests run slower")
 	f.DurationVar(&s.Linger, "linger", backend.DefaultLinger, "least time in state Draining")
@@ -48,27 +51,44 @@
 	return c
 }
 
-func runBackend(c *cobra.Command, b *backend.Server) error {
-	if err := b.Start(); err != nil {
-		return err
+// several returns backend servers that differ in port and seed.
+func several(s backend.Settings, count int) []*backend.Server {
+	out := make([]*backend.Server, 0, count)
+	for range count {
+		out = append(out, backend.New(s))
+		s.Seed++
+		if s.Listen.Port() != 0 {
+			s.Listen = netip.AddrPortFrom(s.Listen.Addr(), s.Listen.Port()+1)
+		}
 	}
-	if _, err := fmt.Fprintf(c.OutOrStdout(), "listening on %s\n", b.Address()); err != nil {
-		return err
+	return out
+}
+
+func runBackends(c *cobra.Command, servers []*backend.Server) error {
+	for _, b := range servers {
+		if err := b.Start(); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(c.OutOrStdout(), "listening on %s\n", b.Address()); err != nil {
+			return err
+		}
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	select {
-	case <-signals:
-		b.Drain()
-	case <-b.Done():
-		return nil
-	}
-	select {
-	case <-signals:
-		return b.Close()
-	case <-b.Done():
-		return nil
+	go func() {
+		<-signals
+		for _, b := range servers {
+			b.Drain()
+		}
+		<-signals
+		for _, b := range servers {
+			_ = b.Close()
+		}
+	}()
+	for _, b := range servers {
+		<-b.Done()
 	}
+	return nil
 }
 
 // parseAddresses reads the values of a repeatable flag.
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -125,10 +125,11 @@
 	}
 	if l.policy != "" {
 		r.settings.Targets = r.backendServers
-		r.settings.Balancer, err = baseline.New(baseline.Kind(l.policy), len(r.backendServers), l.seed)
+		b, err := baseline.New(baseline.Kind(l.policy), len(r.backendServers), l.seed)
 		if err != nil {
 			return r, err
 		}
+		r.settings.Balancers = []*baseline.Balancer{b}
 	}
 	if len(r.settings.Targets) == 0 || len(r.settings.Customers) == 0 {
 		return r, fmt.Errorf("load needs a --customer, and a --target or with --policy a --backend")
--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -78,6 +79,14 @@
 	if got := b.Headers()[CallerHeader]["3"]; got != 1 {
 		t.Errorf("got header value seen %d times, want 1", got)
 	}
+	if err := b.Set(fault.Setting{Deaf: []int{os.Getpid()}}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second/4)
+	defer cancel()
+	if status, _, _ := call(ctx, base, "unheard"); status != 0 || b.Report().RunCount != 6 {
+		t.Errorf("got status %d and %d run from a process that is cut off, want none", status, b.Report().RunCount-6)
+	}
 	if err := b.Set(fault.Setting{Mode: "no such"}); err == nil {
 		t.Error("got no error for an unknown mode")
 	}
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -58,7 +57,7 @@
 func (b *Server) hear(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		peer, err := netip.ParseAddrPort(r.RemoteAddr)
-		if err == nil && slices.Contains(b.current().Deaf, peer.Addr()) {
+		if err == nil && b.peers.Owned(peer, b.Address(), b.current().Deaf) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -81,9 +80,9 @@
 }
 
 func (b *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
-	mode, latency := b.fault()
+	mode, slow := b.fault()
 	if b.current().HealthLies {
-		mode, latency = fault.OK, b.settings.Latency
+		mode, slow = fault.OK, 1
 	}
 	if b.State() == "Starting" {
 		http.Error(w, "starting", http.StatusServiceUnavailable)
@@ -93,7 +92,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if pause(r.Context(), latency) {
+	if pause(r.Context(), scale(b.settings.ProbeLatency, slow)) {
 		status := "ok"
 		if mode == fault.Wrong {
 			status = "wrong"
@@ -125,7 +124,7 @@
 		Customer:      r.Header.Get(CustomerHeader),
 		At:            time.Now(),
 	}
-	mode, latency := b.fault()
+	mode, slow := b.fault()
 	if mode == fault.Shed || b.State() == "Starting" || !b.gate.Enter(ctx) {
 		b.ledger.Shed(entry)
 		w.Header().Set(RequestHeader, entry.Request)
@@ -148,7 +147,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if !pause(ctx, latency) {
+	if !pause(ctx, scale(b.settings.Latency, slow)) {
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
 	}
@@ -231,6 +230,10 @@
 	return context.WithTimeout(r.Context(), d)
 }
 
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
+}
+
 // pause waits, and returns false if the context ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -17,13 +17,14 @@
 	"filbertturn.example/filbertturn/internal/standin/fault"
 	"filbertturn.example/filbertturn/internal/standin/gate"
 	"filbertturn.example/filbertturn/internal/standin/ledger"
+	"filbertturn.example/filbertturn/internal/standin/socket"
 )
 
 // Defaults of settings that are zero.
 const (
 	DefaultSlots   = 3
 	DefaultQueue   = 2
-	DefaultLatency = 25 * time.Millisecond
+	DefaultLatency = 25 * time.Millisecond // Of a request and of a probe.
 	DefaultLinger  = 3 * time.Second
 )
 
@@ -37,17 +38,18 @@
 
 // Settings are the settings of a backend server.
 type Settings struct {
-	Listen     netip.AddrPort   // Zero port takes a free one.
-	Service    string           // Announced service.
-	DataCentre string           // Announced data centre.
-	Slots      int              // Requests run at once; zero means DefaultSlots.
-	Queue      int              // Requests that wait for a slot; zero means DefaultQueue.
-	Announce   []netip.AddrPort // Backend-facing addresses of nodes; none means no announcements.
-	Latency    time.Duration    // Median time to run a request; zero means DefaultLatency.
-	StartDelay time.Duration    // Time in state Starting.
-	ColdStart  time.Duration    // Time after StartDelay during which requests run slower.
-	Linger     time.Duration    // Least time in state Draining; zero means DefaultLinger.
-	Seed       uint64           // Seed of the latencies and faults.
+	Listen       netip.AddrPort   // Zero port takes a free one.
+	Service      string           // Announced service.
+	DataCentre   string           // Announced data centre.
+	Slots        int              // Requests run at once; zero means DefaultSlots.
+	Queue        int              // Requests that wait for a slot; zero means DefaultQueue.
+	Announce     []netip.AddrPort // Backend-facing addresses of nodes; none means no announcements.
+	Latency      time.Duration    // Median time to run a request; zero means DefaultLatency.
+	ProbeLatency time.Duration    // Median time to answer a probe; zero means DefaultLatency.
+	StartDelay   time.Duration    // Time in state Starting.
+	ColdStart    time.Duration    // Time after StartDelay during which requests run slower.
+	Linger       time.Duration    // Least time in state Draining; zero means DefaultLinger.
+	Seed         uint64           // Seed of the latencies and faults.
 }
 
 // Server is a backend server. Make one with New.
@@ -55,6 +57,7 @@
 	settings Settings
 	gate     *gate.Gate
 	ledger   ledger.Ledger
+	peers    socket.Owners
 	http     http.Server
 	listener net.Listener
 	started  time.Time
@@ -83,6 +86,7 @@
 	s.Slots = orDefault(s.Slots, DefaultSlots)
 	s.Queue = orDefault(s.Queue, DefaultQueue)
 	s.Latency = orDefault(s.Latency, DefaultLatency)
+	s.ProbeLatency = orDefault(s.ProbeLatency, DefaultLatency)
 	s.Linger = orDefault(s.Linger, DefaultLinger)
 	b := &Server{
 		settings: s,
@@ -149,6 +153,7 @@
 	b.mu.Lock()
 	b.setting, b.since = f, time.Now()
 	b.mu.Unlock()
+	b.peers.Reset()
 	if f.Mode == fault.Drain {
 		b.Drain()
 	}
@@ -199,15 +204,16 @@
 	return "Ready"
 }
 
-// fault draws the mode of one request and its latency.
-func (b *Server) fault() (fault.Mode, time.Duration) {
+// fault draws the mode of one request, and the factor by which its latency
+// differs from the median.
+func (b *Server) fault() (fault.Mode, float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	m := b.setting.At(now.Sub(b.since), b.draws.Float64())
 	slow := b.setting.Slowness(m) * b.coldness(now)
 	lognormal := math.Exp(latencySigma * b.draws.NormFloat64())
-	return m, time.Duration(slow * lognormal * float64(b.settings.Latency))
+	return m, slow * lognormal
 }
 
 // coldness falls from coldFactor to 1 in the course of the cold start.
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 )
@@ -39,13 +38,13 @@
 // Setting is the fault that a backend server has. The zero value is no fault.
 type Setting struct {
 	Mode       Mode
-	Factor     float64      // Multiplies the latency in mode Slow; zero means DefaultFactor.
-	Share      float64      // Share of requests that the mode hits, at most 1; zero means DefaultShare.
-	Period     Duration     // Length of each phase in mode Flap; zero means DefaultPeriod.
-	HealthLies bool         // The health endpoint reports no fault.
-	LoadLies   bool         // The load endpoint reports an idle backend server.
-	LoadLag    Duration     // Age of what the load endpoint reports.
-	Deaf       []netip.Addr // Peers whose requests are never read: a one-way cut.
+	Factor     float64  // Multiplies the latency in mode Slow; zero means DefaultFactor.
+	Share      float64  // Share of requests that the mode hits, at most 1; zero means DefaultShare.
+	Period     Duration // Length of each phase in mode Flap; zero means DefaultPeriod.
+	HealthLies bool     // The health endpoint reports no fault.
+	LoadLies   bool     // The load endpoint reports an idle backend server.
+	LoadLag    Duration // Age of what the load endpoint reports.
+	Deaf       []int    // Processes on this machine whose requests are never read: a one-way cut.
 }
 
 // Duration is a time.Duration that reads as in "2s".
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -48,10 +48,12 @@
 type Settings struct {
 	Customers  []arrival.Customer
 	Arrivals   []arrival.Arrival
-	Targets    []netip.AddrPort // Caller addresses of nodes, or backend servers if Balancer is set.
-	Routing    Routing          // Empty means Sticky.
-	MovePeriod time.Duration    // Zero means DefaultMovePeriod.
-	Balancer   *baseline.Balancer
+	Targets    []netip.AddrPort     // Caller addresses of nodes, or backend servers if there are Balancers.
+	Routing    Routing              // Empty means Sticky.
+	MovePeriod time.Duration        // Zero means DefaultMovePeriod.
+	Balancers  []*baseline.Balancer // Proxies to stand for the nodes; callers choose among them as Routing says.
+	Pause      Pause
+	Block      Block
 	Timeout    time.Duration // Sent with each request; zero means DefaultTimeout.
 	Path       string        // Empty means DefaultPath.
 	Service    string        // Service that answers have to come from.
@@ -59,6 +61,21 @@
 	Run        string        // Begins the identifier of each request.
 }
 
+// Pause stops a balancer for a while: its requests wait until the end. The
+// zero value is no pause.
+type Pause struct {
+	Balancer int
+	From, To time.Duration
+}
+
+// Block cuts a balancer off from a backend server: its requests to it get no
+// answer. The zero value is no block.
+type Block struct {
+	Balancer int
+	Target   int
+	From, To time.Duration
+}
+
 // Result says what became of a request.
 type Result string
 
@@ -95,7 +112,7 @@
 	client   *http.Client
 	started  time.Time
 
-	mu sync.Mutex // Guards the balancer.
+	mu sync.Mutex // Guards the balancers.
 }
 
 // New returns a generator.
@@ -141,14 +158,15 @@
 	return records[:sent]
 }
 
-// Ejections returns the ejections of the balancer, if there is one.
+// Ejections returns the ejections of all balancers.
 func (g *Generator) Ejections() []baseline.Ejection {
-	if g.settings.Balancer == nil {
-		return nil
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.settings.Balancer.Ejections()
+	var out []baseline.Ejection
+	for _, b := range g.settings.Balancers {
+		out = append(out, b.Ejections()...)
+	}
+	return out
 }
 
 func sleepUntil(ctx context.Context, t time.Time) bool {
@@ -173,48 +191,70 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Timeout+grace)
 	defer cancel()
-	first, release := g.target(a)
-	for k := range g.settings.Targets {
-		r.Target = g.settings.Targets[(first+k)%len(g.settings.Targets)]
-		err := g.try(ctx, &r)
+	if len(g.settings.Balancers) > 0 {
+		g.direct(ctx, &r, a)
+	} else {
+		g.nodes(ctx, &r, a)
+	}
+	r.Latency = time.Since(g.started.Add(a.At))
+	return r
+}
+
+// nodes sends the request to a node. A caller that finds no connection turns
+// to the next one.
+func (g *Generator) nodes(ctx context.Context, r *Record, a arrival.Arrival) {
+	targets := g.settings.Targets
+	first := g.choose(a, len(targets))
+	for k := range targets {
+		r.Target = targets[(first+k)%len(targets)]
+		err := g.try(ctx, r)
 		if r.Err = ""; err != nil {
 			r.Err = err.Error()
 		}
-		// A caller that finds no connection turns to the next node.
 		var dial *net.OpError
-		if !errors.As(err, &dial) || dial.Op != "dial" || g.settings.Balancer != nil {
-			break
+		if !errors.As(err, &dial) || dial.Op != "dial" {
+			return
 		}
 	}
-	r.Latency = time.Since(g.started.Add(a.At))
-	release(r.Status == 0 || r.Status >= 500 || r.Result == Cut)
-	return r
 }
 
-// target returns the index of the first target to try, and a function that
-// takes the result.
-func (g *Generator) target(a arrival.Arrival) (first int, release func(failed bool)) {
-	n := len(g.settings.Targets)
-	if b := g.settings.Balancer; b != nil {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		picked := b.Pick(time.Now())
-		return picked, func(failed bool) {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			b.Finish(time.Now(), picked, failed)
+// direct sends the request to the backend server that a balancer picks.
+func (g *Generator) direct(ctx context.Context, r *Record, a arrival.Arrival) {
+	s := g.settings
+	chosen := g.choose(a, len(s.Balancers))
+	r.Result = Unanswered
+	if p := s.Pause; p.Balancer == chosen && p.From <= a.At && a.At < p.To {
+		if !sleepUntil(ctx, g.started.Add(p.To)) {
+			return
 		}
 	}
+	b := s.Balancers[chosen]
+	g.mu.Lock()
+	picked := b.Pick(time.Now())
+	g.mu.Unlock()
+	r.Target = s.Targets[picked]
+	if c := s.Block; c.Balancer == chosen && c.Target == picked && c.From <= a.At && a.At < c.To {
+		<-ctx.Done()
+	} else if err := g.try(ctx, r); err != nil {
+		r.Err = err.Error()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.Finish(time.Now(), picked, r.Status == 0 || r.Status >= 500 || r.Result == Cut)
+}
+
+// choose returns the index of the node or balancer that the caller turns to.
+func (g *Generator) choose(a arrival.Arrival, n int) int {
 	switch g.settings.Routing {
 	case Sticky:
-		first = a.Customer % n
+		return a.Customer % n
 	case Spread:
-		first = int(a.Target % uint64(n))
+		return int(a.Target % uint64(n))
 	case Moving:
-		first = int(a.At/g.settings.MovePeriod) % n
+		return int(a.At/g.settings.MovePeriod) % n
 	case Single:
 	}
-	return first, func(bool) {}
+	return 0
 }
 
 // try sends the request to r.Target and fills in what became of it.
@@ -231,7 +271,7 @@
 	}
 	req.Header.Set(backend.CallerHeader, r.ID)
 	req.Header.Set(backend.TimeoutHeader, g.settings.Timeout.String())
-	if key := g.settings.Customers[r.Customer].Key; key != "" && g.settings.Balancer == nil {
+	if key := g.settings.Customers[r.Customer].Key; key != "" && len(g.settings.Balancers) == 0 {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
 	resp, err := g.client.Do(req)
