--- a/internal/config/publisher/keeping.go
+++ b/internal/config/publisher/keeping.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 
@@ -11,8 +12,8 @@
 )
 
 const (
-	// KeptManifests is the number of revisions whose chunks Collect keeps, so
-	// that slow readers of an older head still find them.
+	// KeptManifests is the default of Publisher.Kept, so that slow readers of
+	// an older head still find its chunks.
 	KeptManifests = 20
 
 	pageSize = 500 // Keys of one listing.
@@ -35,8 +36,7 @@
 	return records, nil
 }
 
-// Collect deletes the chunks that none of the last KeptManifests revisions
-// uses, and the audit records before the last audit.Kept. It returns how many
+// Collect deletes the chunks that none of the last Kept revisions uses, and the audit records before the last audit.Kept. It returns how many
 // it deleted.
 //
 // It runs beside publishers: a publisher writes every chunk that its base
@@ -70,7 +70,7 @@
 
 // used returns the keys of the chunks and manifests of the last revisions.
 func (p *Publisher) used(ctx context.Context, current string) (map[string]bool, error) {
-	records, err := p.Audit(ctx, KeptManifests)
+	records, err := p.Audit(ctx, cmp.Or(p.Kept, KeptManifests))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/publisher/publisher.go
+++ b/internal/config/publisher/publisher.go
@@ -40,11 +40,15 @@
 // must raise Sequence by one and is free in the fields of the roster.
 type Next func(base head.Head, revision uint64, manifest string) head.Head
 
-// Publisher publishes to Store. Both fields are needed. It keeps no state and
-// may be used by several goroutines.
+// Publisher publishes to Store. It keeps no state and may be used by several
+// goroutines.
 type Publisher struct {
 	Store Store
-	Next  Next
+	Next  Next // Needed for Publish.
+
+	// Kept is the number of revisions whose chunks Collect keeps; zero means
+	// KeptManifests.
+	Kept int
 }
 
 // Request asks to publish a set.
--- a/internal/config/snapshot/snapshot.go
+++ b/internal/config/snapshot/snapshot.go
@@ -20,6 +20,7 @@
 	set       set.Set
 	routes    map[string][]int32 // Indices of the routes of a prefix.
 	depth     int                // Most segments of a prefix.
+	named     map[string]int32   // Indices of routes by name.
 	customers map[string]int32
 	limits    map[string]int32
 	pools     map[string]int32
@@ -35,6 +36,7 @@
 		revision:  revision,
 		set:       s,
 		routes:    make(map[string][]int32, len(s.Routes)),
+		named:     index(s.Routes, func(o set.Route) (string, bool) { return o.Name, true }),
 		customers: index(s.Customers, func(o set.Customer) (string, bool) { return o.Name, true }),
 		limits:    index(s.Limits, func(o set.Limit) (string, bool) { return o.Name, true }),
 		pools:     index(s.Pools, func(o set.Pool) (string, bool) { return o.Name, true }),
@@ -54,6 +56,15 @@
 // Set returns the whole set. Its lists must not be changed.
 func (s *Snapshot) Set() set.Set { return s.set }
 
+// NamedRoute returns a route by its name.
+func (s *Snapshot) NamedRoute(name string) (set.Route, bool) {
+	r, found := s.named[name]
+	if !found {
+		return set.Route{}, false
+	}
+	return s.set.Routes[r], true
+}
+
 // Customer returns the customer that a secret acts for, and the key, by the
 // hash of the secret.
 func (s *Snapshot) Customer(hash Hash) (set.Customer, set.Key, bool) {
