--- a/cmd/filbertturn/main.go
+++ b/cmd/filbertturn/main.go
@@ -1,4 +1,12 @@
 // Command filbertturn is a node of the proxy fleet and its operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"filbertturn.example/filbertturn/internal/admin/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/admin/client/client.go
@@ -0,0 +1,109 @@
+// Package client calls the administration API of a node.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"filbertturn.example/filbertturn/internal/admin/message"
+	"filbertturn.example/filbertturn/internal/config/audit"
+)
+
+// Client calls one node. Its errors are *message.Error for refusals and
+// *ConnectError for nodes that do not answer.
+type Client struct {
+	Address netip.AddrPort
+	Token   string // Token of an operator; empty for calls that need none.
+}
+
+// ConnectError reports that the node did not answer.
+type ConnectError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error implements the error interface.
+func (e *ConnectError) Error() string {
+	return fmt.Sprintf("node %s does not answer: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ConnectError) Unwrap() error {
+	return e.Err
+}
+
+// Status returns the node's view.
+func (c *Client) Status(ctx context.Context) (message.Status, error) {
+	var s message.Status
+	err := c.call(ctx, http.MethodGet, message.StatusPath, nil, &s)
+	return s, err
+}
+
+// Config returns the configuration that the node runs.
+func (c *Client) Config(ctx context.Context) (message.Config, error) {
+	var s message.Config
+	err := c.call(ctx, http.MethodGet, message.ConfigPath, nil, &s)
+	return s, err
+}
+
+// Check returns nil if a set could be published.
+func (c *Client) Check(ctx context.Context, p message.Publish) error {
+	return c.call(ctx, http.MethodPost, message.CheckPath, p, nil)
+}
+
+// Publish publishes a set.
+func (c *Client) Publish(ctx context.Context, p message.Publish) (message.Published, error) {
+	var r message.Published
+	err := c.call(ctx, http.MethodPost, message.ConfigPath, p, &r)
+	return r, err
+}
+
+// Audit returns the last records of the audit trail, the newest first.
+func (c *Client) Audit(ctx context.Context, limit int) ([]audit.Record, error) {
+	var r []audit.Record
+	err := c.call(ctx, http.MethodGet, message.AuditPath+"?Limit="+strconv.Itoa(limit), nil, &r)
+	return r, err
+}
+
+// Ended asserts that members have stopped for ever.
+func (c *Client) Ended(ctx context.Context, e message.Ended) error {
+	return c.call(ctx, http.MethodPost, message.EndedPath, e, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address.String()+path, body)
+	if err != nil {
+		return err
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &ConnectError{Address: c.Address, Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		e := &message.Error{Code: message.Unavailable, Message: resp.Status}
+		_ = json.NewDecoder(resp.Body).Decode(e)
+		return e
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
--- /dev/null
+++ b/internal/admin/command/config.go
@@ -0,0 +1,276 @@
+package command
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"filbertturn.example/filbertturn/internal/admin/client"
+	"filbertturn.example/filbertturn/internal/admin/message"
+	"filbertturn.example/filbertturn/internal/config/check"
+	"filbertturn.example/filbertturn/internal/config/diff"
+	"filbertturn.example/filbertturn/internal/config/document"
+	"filbertturn.example/filbertturn/internal/config/set"
+)
+
+func newConfig() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Check, publish and compare configuration sets"}
+	c.AddCommand(newCheck(), newPublish(), newGet(), newDiff())
+	return c
+}
+
+// readSet reads a document from a file, or from standard input for "-".
+func readSet(c *cobra.Command, path string) (set.Set, []byte, error) {
+	var text []byte
+	var err error
+	if path == "-" {
+		text, err = io.ReadAll(c.InOrStdin())
+	} else {
+		text, err = os.ReadFile(path) //nolint:gosec // The path is the user's argument.
+	}
+	if err != nil {
+		return set.Set{}, nil, &Exit{Code: ExitUsage, Err: err}
+	}
+	s, err := document.Decode(text)
+	if err != nil {
+		return set.Set{}, nil, syntaxExit(path, err)
+	}
+	return s, text, nil
+}
+
+func syntaxExit(path string, err error) error {
+	var syntax *document.Error
+	if !errors.As(err, &syntax) {
+		return &Exit{Code: ExitInvalid, Err: err}
+	}
+	lines := make([]string, 0, len(syntax.Problems))
+	for _, p := range syntax.Problems {
+		lines = append(lines, path+":"+p.String())
+	}
+	return &Exit{Code: ExitInvalid, Err: errors.New(strings.Join(lines, "\n"))}
+}
+
+func newCheck() *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a set without publishing it; no node is asked",
+		Args:  usage(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, _, err := readSet(c, args[0])
+			if err != nil {
+				return err
+			}
+			return printProblems(t.printer(c), check.Check(s))
+		},
+	}
+	c.Flags().BoolVar(&t.json, "json", false, "print JSON lines")
+	return c
+}
+
+// usage gives a wrong number of arguments its exit code.
+func usage(f cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := f(c, args); err != nil {
+			return &Exit{Code: ExitUsage, Err: err}
+		}
+		return nil
+	}
+}
+
+func printProblems(p *printer, problems []check.Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	for _, problem := range problems {
+		if err := p.value(problem, func(w io.Writer) { _, _ = fmt.Fprintln(w, problem) }); err != nil {
+			return err
+		}
+	}
+	return &Exit{Code: ExitInvalid}
+}
+
+func newPublish() *cobra.Command {
+	var t target
+	var base uint64
+	var id string
+	c := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Publish a set if it has no problems and nobody published in between",
+		Args:  usage(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, args []string) error {
+			_, text, err := readSet(c, args[0])
+			if err != nil {
+				return err
+			}
+			node, err := t.client()
+			if err != nil {
+				return err
+			}
+			if id == "" {
+				id = rand.Text()
+			}
+			return publish(c, &t, node, message.Publish{Base: base, PublishID: id, Set: text})
+		},
+	}
+	t.register(c)
+	c.Flags().Uint64Var(&base, "base", 0, "revision that the set was made from; 0 for the first")
+	c.Flags().StringVar(&id, "id", "", "identifier of this publish; repeat it to learn an unknown outcome")
+	return c
+}
+
+func publish(c *cobra.Command, t *target, node *client.Client, p message.Publish) error {
+	ctx, cancel := callContext()
+	defer cancel()
+	done, err := node.Publish(ctx, p)
+	if err != nil {
+		return explain(c, t, p, err)
+	}
+	err = t.printer(c).value(done, func(w io.Writer) {
+		for _, change := range done.Changes {
+			_, _ = fmt.Fprintln(w, change)
+		}
+		state := "in force everywhere"
+		if !done.InForce {
+			state = "stored, not yet in force everywhere"
+		}
+		_, _ = fmt.Fprintf(w, "revision %d: %s\n", done.Revision, state)
+	})
+	if err == nil && !done.InForce {
+		return &Exit{Code: ExitPending}
+	}
+	return err
+}
+
+// explain prints what a refusal says beyond its message.
+func explain(c *cobra.Command, t *target, p message.Publish, err error) error {
+	var refused *message.Error
+	if !errors.As(err, &refused) {
+		return err
+	}
+	out := t.printer(c)
+	switch refused.Code {
+	case message.Invalid:
+		return printProblems(out, refused.Problems)
+	case message.Conflict:
+		return printConflict(out, refused)
+	case message.Unknown:
+		return &Exit{Code: ExitUnknown, Err: fmt.Errorf("%w; repeat it with --id %s", err, p.PublishID)}
+	default:
+		return err
+	}
+}
+
+func printConflict(out *printer, e *message.Error) error {
+	err := out.value(e, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "revision %d is in force, the set was made from %d; nothing was published\n", e.Current, e.Base)
+		for _, change := range e.Changes {
+			_, _ = fmt.Fprintln(w, change)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return &Exit{Code: ExitConflict}
+}
+
+func newGet() *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use:   "get",
+		Short: "Print the set that a node runs, and its revision on standard error",
+		Args:  usage(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			node, err := t.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := callContext()
+			defer cancel()
+			config, err := node.Config(ctx)
+			if err != nil {
+				return err
+			}
+			if t.json {
+				return json.NewEncoder(c.OutOrStdout()).Encode(config)
+			}
+			text, err := indent(config.Set)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(c.ErrOrStderr(), "revision %d\n", config.Revision)
+			_, err = c.OutOrStdout().Write(text)
+			return err
+		},
+	}
+	t.register(c)
+	return c
+}
+
+// indent gives a document its readable form again, which it loses inside a
+// message.
+func indent(text []byte) ([]byte, error) {
+	s, err := document.Decode(text)
+	if err != nil {
+		return nil, err
+	}
+	return document.Encode(s)
+}
+
+func newDiff() *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use:   "diff FILE [FILE]",
+		Short: "Compare a set with the one that a node runs, or with another file",
+		Args:  usage(cobra.RangeArgs(1, 2)),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, _, err := readSet(c, args[0])
+			if err != nil {
+				return err
+			}
+			other, err := otherSet(c, &t, args)
+			if err != nil {
+				return err
+			}
+			return printChanges(t.printer(c), diff.Diff(other, s))
+		},
+	}
+	t.register(c)
+	return c
+}
+
+func otherSet(c *cobra.Command, t *target, args []string) (set.Set, error) {
+	if len(args) > 1 {
+		s, _, err := readSet(c, args[1])
+		return s, err
+	}
+	node, err := t.client()
+	if err != nil {
+		return set.Set{}, err
+	}
+	ctx, cancel := callContext()
+	defer cancel()
+	config, err := node.Config(ctx)
+	if err != nil {
+		return set.Set{}, err
+	}
+	return document.Decode(config.Set)
+}
+
+func printChanges(p *printer, changes []diff.Change) error {
+	for _, change := range changes {
+		if err := p.value(change, func(w io.Writer) { _, _ = fmt.Fprintln(w, change) }); err != nil {
+			return err
+		}
+	}
+	if len(changes) > 0 {
+		return &Exit{Code: ExitDiffers}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/metrics/metrics.go
@@ -0,0 +1,88 @@
+// Package metrics counts what a node does and shows it in the text format of
+// common collectors.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"filbertturn.example/filbertturn/internal/request/call"
+	"filbertturn.example/filbertturn/internal/request/failure"
+)
+
+const (
+	reservoirSize = 1028
+	decay         = 0.015
+	prefix        = "filbertturn_"
+)
+
+// Metrics is the registry of one node.
+type Metrics struct {
+	registry gometrics.Registry
+	latency  gometrics.Timer
+}
+
+// New returns an empty registry.
+func New() *Metrics {
+	r := gometrics.NewRegistry()
+	histogram := gometrics.NewHistogram(gometrics.NewExpDecaySample(reservoirSize, decay))
+	latency := gometrics.NewCustomTimer(histogram, gometrics.NewMeter())
+	_ = r.Register("request_seconds", latency)
+	return &Metrics{registry: r, latency: latency}
+}
+
+// Count adds one to a counter.
+func (m *Metrics) Count(name string) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// Gauge shows the value that f returns.
+func (m *Metrics) Gauge(name string, f func() int64) {
+	_ = m.registry.Register(name, gometrics.NewFunctionalGauge(f))
+}
+
+// Done counts the end of a request.
+func (m *Metrics) Done(_ *call.Call, status int, f *failure.Failure, took time.Duration) {
+	m.latency.Update(took)
+	m.Count(fmt.Sprintf("answers_total{status=%q}", fmt.Sprintf("%dxx", status/100)))
+	if f != nil {
+		m.Count(fmt.Sprintf("failures_total{kind=%q}", f.Kind))
+	}
+}
+
+// ServeHTTP writes all metrics as text.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	lines := m.lines()
+	sort.Strings(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, ""))
+}
+
+func (m *Metrics) lines() []string {
+	var lines []string
+	add := func(name string, value any) {
+		lines = append(lines, fmt.Sprintf("%s%s %v\n", prefix, name, value))
+	}
+	m.registry.Each(func(name string, value any) {
+		switch v := value.(type) {
+		case gometrics.Counter:
+			add(name, v.Count())
+		case gometrics.Gauge:
+			add(name, v.Value())
+		case gometrics.Timer:
+			t := v.Snapshot()
+			add(name+"_count", t.Count())
+			add(name+"_sum", time.Duration(t.Sum()).Seconds())
+			for _, q := range []float64{0.5, 0.9, 0.99, 0.999} {
+				add(fmt.Sprintf("%s{quantile=\"%g\"}", name, q), time.Duration(t.Percentile(q)).Seconds())
+			}
+		}
+	})
+	return lines
+}
--- /dev/null
+++ b/internal/node/process/process.go
@@ -0,0 +1,246 @@
+// Package process assembles a node from its parts and runs it.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"filbertturn.example/filbertturn/internal/admin/api"
+	"filbertturn.example/filbertturn/internal/clock/timer"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/node/entry"
+	"filbertturn.example/filbertturn/internal/node/forwarder"
+	"filbertturn.example/filbertturn/internal/node/identity"
+	"filbertturn.example/filbertturn/internal/node/limiter"
+	"filbertturn.example/filbertturn/internal/node/membership"
+	"filbertturn.example/filbertturn/internal/node/metrics"
+	"filbertturn.example/filbertturn/internal/node/owner"
+	"filbertturn.example/filbertturn/internal/node/poolhome"
+	"filbertturn.example/filbertturn/internal/node/registrar"
+	"filbertturn.example/filbertturn/internal/node/settings"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/platform/store"
+)
+
+// Bounds of connections from outside.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+	resignTime        = time.Second // Time that peers have to hear of a resignation.
+	pollInterval      = 20 * time.Millisecond
+	idleInterval      = 10 * time.Second
+)
+
+// Process is one node. Use New to make one.
+type Process struct {
+	settings   settings.Settings
+	log        zerolog.Logger
+	self       member.Member
+	timers     timer.Service
+	mesh       *link.Mesh
+	membership *membership.Membership
+	limiter    *limiter.Limiter
+	owner      *owner.Owner
+	homes      *poolhome.Homes
+	forwarder  *forwarder.Forwarder
+	registrar  *registrar.Registrar
+	metrics    *metrics.Metrics
+	requests   atomic.Uint64
+	closing    atomic.Bool
+	servers    []*http.Server
+	listeners  []net.Listener
+	failed     chan error
+}
+
+// New assembles a node. It opens no connection yet.
+func New(s settings.Settings, log zerolog.Logger, now time.Time) (*Process, error) {
+	id, err := identity.Load(s.Certificate, s.Key, s.Authority)
+	if err != nil {
+		return nil, err
+	}
+	self := member.Member{
+		Address:     s.PeerAddress,
+		Incarnation: uint64(now.UnixNano()),
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+	}
+	p := &Process{settings: s, log: log, self: self, metrics: metrics.New(), failed: make(chan error, 1)}
+	p.mesh = link.New(id.Client, id.Server, p)
+	p.membership = &membership.Membership{
+		Self: self, Seeds: s.Peers, Store: &store.Client{Endpoints: s.Stores}, Mesh: p.mesh, Log: log,
+		Changed: p.changed, Suspended: p.suspended,
+	}
+	p.limiter = &limiter.Limiter{Self: self, Authority: p.membership, Mesh: p.mesh}
+	p.homes = &poolhome.Homes{Self: self, Authority: p.membership, Mesh: p.mesh}
+	p.owner = &owner.Owner{Self: self, Authority: p.membership, Referees: p.homes, Log: log}
+	p.forwarder = &forwarder.Forwarder{
+		Self: self.Address, DataCentre: s.DataCentre, Owner: p.owner, Courier: &courier.Courier{Mesh: p.mesh},
+	}
+	p.registrar = &registrar.Registrar{Self: self, Members: p.membership, Owner: p.owner, Directory: p.forwarder, Mesh: p.mesh, Log: log}
+	p.owner.Changed = p.registrar.Publish
+	return p, nil
+}
+
+func (p *Process) changed(c membership.Change) {
+	p.limiter.Changed(c)
+	p.homes.Changed(c)
+}
+
+func (p *Process) suspended(now time.Time) {
+	p.limiter.Drop()
+	p.homes.Drop()
+	p.owner.Drop(now)
+}
+
+// Run serves until ctx ends, and then shuts down gracefully. A second signal
+// on stop ends it at once.
+func (p *Process) Run(ctx context.Context, stop <-chan os.Signal) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p.membership.Start(running, &p.timers)
+	p.limiter.Start(&p.timers)
+	p.owner.Start(running, &p.timers)
+	p.registrar.Start(running, &p.timers)
+	p.timers.Subscribe(idleInterval, func(t timer.Tick) { p.mesh.CloseIdle(t.Now) })
+	err := p.listen()
+	if err == nil {
+		p.log.Info().Stringer("Member", p.self).Stringer("CallerAddress", p.settings.CallerAddress).Msg("node started")
+		select {
+		case <-ctx.Done():
+			p.shutDown(stop)
+		case err = <-p.failed:
+		}
+	}
+	cancel()
+	p.timers.Stop()
+	p.mesh.Close()
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	return err
+}
+
+func (p *Process) listen() error {
+	handler := &entry.Entry{
+		Authority: p.membership, Limiter: p.limiter, Forwarder: p.forwarder, Recorder: p.metrics,
+		NewID: p.newID, Closing: p.closing.Load,
+	}
+	admin := &api.API{
+		Members: p.membership, Store: p.membership.Store, Owner: p.owner, Owners: p.forwarder, Metrics: p.metrics,
+		Bootstrap: p.settings.Bootstrap, Log: p.log,
+	}
+	p.gauges()
+	for _, l := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{p.settings.CallerAddress, handler},
+		{p.settings.BackendAddress, p.registrar.Handler()},
+		{p.settings.AdminAddress, admin.Handler()},
+	} {
+		if err := p.serveHTTP(l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	l, err := net.Listen("tcp", p.settings.PeerAddress.String())
+	if err != nil {
+		return fmt.Errorf("peer address: %w", err)
+	}
+	p.listeners = append(p.listeners, l)
+	go p.mesh.Listen(l)
+	return nil
+}
+
+func (p *Process) serveHTTP(a netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", a, err)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	p.servers = append(p.servers, s)
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			select {
+			case p.failed <- err:
+			default:
+			}
+		}
+	}()
+	return nil
+}
+
+func (p *Process) newID() string {
+	return strconv.FormatUint(p.self.Incarnation, 36) + "-" + strconv.FormatUint(p.requests.Add(1), 36)
+}
+
+func (p *Process) gauges() {
+	p.metrics.Gauge("current", func() int64 {
+		if p.membership.Current(time.Now()) == nil {
+			return 1
+		}
+		return 0
+	})
+	p.metrics.Gauge("head_sequence", func() int64 { return int64(p.membership.Sequence()) })
+	p.metrics.Gauge("requests_at_owner", p.owner.Active)
+	p.metrics.Gauge("limit_customers", func() int64 { return int64(p.limiter.Customers()) })
+	p.metrics.Gauge("peer_sessions", func() int64 { return int64(p.mesh.Sessions()) })
+}
+
+// shutDown lets other nodes take over, waits for the requests under way and
+// resigns. A second signal skips what is left.
+func (p *Process) shutDown(stop <-chan os.Signal) {
+	p.log.Info().Msg("shutting down")
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainDelay+p.settings.DrainTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	p.closing.Store(true)
+	p.owner.Close()
+	p.registrar.Publish()
+	sleep(ctx, p.settings.DrainDelay)
+	var callers sync.WaitGroup
+	callers.Add(1)
+	go func() {
+		defer callers.Done()
+		_ = p.servers[0].Shutdown(ctx)
+	}()
+	for p.owner.Active() > 0 && ctx.Err() == nil {
+		sleep(ctx, pollInterval)
+	}
+	callers.Wait()
+	p.membership.Resign(time.Now())
+	sleep(ctx, resignTime)
+	p.log.Info().Bool("Cut", ctx.Err() != nil).Msg("shut down")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/registrar/registrar.go
@@ -0,0 +1,293 @@
+// Package registrar takes announcements of backend servers, passes them to
+// their owners, and tells entries what the owners can take.
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"filbertturn.example/filbertturn/internal/backend/lease"
+	"filbertturn.example/filbertturn/internal/clock/timer"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/fleet/placement"
+	"filbertturn.example/filbertturn/internal/node/owner"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/peer/question"
+	"filbertturn.example/filbertturn/internal/route/directory"
+)
+
+const (
+	ownerTimeout    = 300 * time.Millisecond // Time that one owner has to answer.
+	maxOwners       = 4                      // Owners that an announcement is offered to.
+	maxAnnouncement = 4 << 10                // Bytes of an announcement.
+	tickInterval    = 100 * time.Millisecond
+	summaryFloor    = time.Second           // Shortest time between summaries without a change.
+	summaryPerNode  = 20 * time.Millisecond // Time added to it by each member, which bounds the traffic.
+	summaryTimeout  = time.Second
+	changeDelay     = 20 * time.Millisecond // Time that gathers changes into one summary.
+)
+
+// Members tells which nodes can be owners.
+type Members interface {
+	Live(now time.Time) []member.Member
+}
+
+// Mesh asks other nodes.
+type Mesh interface {
+	Ask(ctx context.Context, to netip.AddrPort, kind uint32, payload []byte) ([]byte, error)
+}
+
+// Directory takes in summaries.
+type Directory interface {
+	Hear(now time.Time, s directory.Summary)
+	Expire(now time.Time)
+}
+
+// Registrar is the part of a node that backend servers talk to.
+type Registrar struct {
+	Self      member.Member
+	Members   Members
+	Owner     *owner.Owner
+	Directory Directory
+	Mesh      Mesh
+	Log       zerolog.Logger
+
+	mu       sync.Mutex // Guards the fields below.
+	changed  time.Time  // Time of the first change that is not published; zero if there is none.
+	sent     time.Time  // Time of the last summary.
+	sequence uint64
+}
+
+// Announcement is the JSON form of a backend server's heartbeat.
+type Announcement struct {
+	BackendServer netip.AddrPort
+	Service       string
+	DataCentre    string
+	Slots         int
+	State         string // Starting, Ready or Draining.
+	Incarnation   uint64 // Start time of the backend server, in nanoseconds since 1970.
+	Sequence      uint64 // Grows with each announcement of one incarnation.
+}
+
+// Start begins to publish summaries.
+func (r *Registrar) Start(ctx context.Context, timers *timer.Service) {
+	timers.Subscribe(tickInterval, func(t timer.Tick) {
+		r.Directory.Expire(t.Now)
+		r.publishIfDue(ctx, t.Now)
+	})
+	timers.Subscribe(changeDelay, func(t timer.Tick) {
+		r.mu.Lock()
+		due := !r.changed.IsZero()
+		r.mu.Unlock()
+		if due {
+			r.publish(ctx, t.Now)
+		}
+	})
+}
+
+// Handler serves the address for backend servers.
+func (r *Registrar) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", r.announce)
+	return mux
+}
+
+func (r *Registrar) announce(w http.ResponseWriter, req *http.Request) {
+	var a Announcement
+	d := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxAnnouncement))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l, err := a.lease()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	by, err := r.place(req.Context(), l)
+	if err != nil {
+		http.Error(w, "no node can own the backend server: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct{ Owner netip.AddrPort }{by})
+}
+
+func (a Announcement) lease() (lease.Announcement, error) {
+	states := map[string]lease.State{"Starting": lease.Starting, "Ready": lease.Ready, "Draining": lease.Draining}
+	state, ok := states[a.State]
+	if !ok {
+		return lease.Announcement{}, errors.New("field State is none of Starting, Ready and Draining")
+	}
+	return lease.Announcement{
+		BackendServer: a.BackendServer, Service: a.Service, DataCentre: a.DataCentre, Slots: a.Slots,
+		State: state, Incarnation: a.Incarnation, Sequence: a.Sequence,
+	}, nil
+}
+
+// place offers an announcement to the nodes that may own the backend server, in
+// the order that all nodes compute alike, until one takes it.
+func (r *Registrar) place(ctx context.Context, a lease.Announcement) (netip.AddrPort, error) {
+	candidates := placement.Nearest(a.BackendServer.String(), a.DataCentre, r.Members.Live(time.Now()))
+	if len(candidates) == 0 {
+		return netip.AddrPort{}, errors.New("the roster is not known yet")
+	}
+	var err error
+	for _, m := range candidates[:min(maxOwners, len(candidates))] {
+		if err = r.offer(ctx, m, a); err == nil {
+			return m.Address, nil
+		}
+	}
+	return netip.AddrPort{}, err
+}
+
+func (r *Registrar) offer(ctx context.Context, m member.Member, a lease.Announcement) error {
+	if m == r.Self {
+		return r.Owner.Heartbeat(time.Now(), a)
+	}
+	payload, err := proto.Marshal(&peerpb.Announcement{
+		BackendServer: a.BackendServer.String(),
+		Service:       a.Service,
+		DataCentre:    a.DataCentre,
+		Slots:         uint32(a.Slots),
+		State:         uint32(a.State),
+		Incarnation:   a.Incarnation,
+		Sequence:      a.Sequence,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	_, err = r.Mesh.Ask(ctx, m.Address, question.Announce, payload)
+	return err
+}
+
+// AnswerAnnounce takes an announcement that another node passed on.
+func (r *Registrar) AnswerAnnounce(payload []byte) error {
+	var w peerpb.Announcement
+	if err := proto.Unmarshal(payload, &w); err != nil {
+		return err
+	}
+	address, err := netip.ParseAddrPort(w.GetBackendServer())
+	if err != nil {
+		return err
+	}
+	return r.Owner.Heartbeat(time.Now(), lease.Announcement{
+		BackendServer: address,
+		Service:       w.GetService(),
+		DataCentre:    w.GetDataCentre(),
+		Slots:         int(w.GetSlots()),
+		State:         lease.State(w.GetState()),
+		Incarnation:   w.GetIncarnation(),
+		Sequence:      w.GetSequence(),
+	})
+}
+
+// Publish tells all nodes soon that this node's capacity has changed.
+func (r *Registrar) Publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed.IsZero() {
+		r.changed = time.Now()
+	}
+}
+
+// Interval returns the time between summaries without a change, for a fleet of
+// n members.
+func Interval(n int) time.Duration {
+	return max(summaryFloor, time.Duration(n)*summaryPerNode)
+}
+
+func (r *Registrar) publishIfDue(ctx context.Context, now time.Time) {
+	interval := Interval(len(r.Members.Live(now)))
+	r.mu.Lock()
+	due := now.Sub(r.sent) >= interval
+	r.mu.Unlock()
+	if due {
+		r.publish(ctx, now)
+	}
+}
+
+func (r *Registrar) publish(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	r.changed = time.Time{}
+	r.sent = now
+	r.sequence++
+	w := &peerpb.Summary{
+		Owner: r.Self.Address.String(), DataCentre: r.Self.DataCentre, Incarnation: r.Self.Incarnation, Sequence: r.sequence,
+	}
+	r.mu.Unlock()
+	for _, c := range r.Owner.Capacities(now) {
+		w.Services = append(w.Services, &peerpb.ServiceCapacity{
+			Service: c.Service, Slots: uint32(c.Slots), Free: int32(c.Free), BackendServers: uint32(c.BackendServers),
+		})
+	}
+	if s, err := summary(w); err == nil {
+		r.Directory.Hear(now, s)
+	}
+	payload, err := proto.Marshal(w)
+	if err != nil {
+		return
+	}
+	for _, m := range r.Members.Live(now) {
+		if m.Address != r.Self.Address {
+			go r.tell(ctx, m.Address, payload)
+		}
+	}
+}
+
+// tell sends a summary. The next one makes up for one that is lost.
+func (r *Registrar) tell(ctx context.Context, to netip.AddrPort, payload []byte) {
+	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
+	defer cancel()
+	if _, err := r.Mesh.Ask(ctx, to, question.Summary, payload); err != nil {
+		r.Log.Debug().Err(err).Stringer("Peer", to).Msg("summary not delivered")
+	}
+}
+
+// AnswerSummary takes in another owner's summary.
+func (r *Registrar) AnswerSummary(payload []byte) error {
+	var w peerpb.Summary
+	if err := proto.Unmarshal(payload, &w); err != nil {
+		return err
+	}
+	s, err := summary(&w)
+	if err != nil {
+		return err
+	}
+	r.Directory.Hear(time.Now(), s)
+	return nil
+}
+
+func summary(w *peerpb.Summary) (directory.Summary, error) {
+	address, err := netip.ParseAddrPort(w.GetOwner())
+	if err != nil {
+		return directory.Summary{}, err
+	}
+	s := directory.Summary{
+		Owner: address, DataCentre: w.GetDataCentre(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(),
+	}
+	for _, c := range w.GetServices() {
+		s.Services = append(s.Services, directory.Capacity{
+			Service: c.GetService(), Slots: int(c.GetSlots()), Free: int(c.GetFree()), BackendServers: int(c.GetBackendServers()),
+		})
+	}
+	slices.SortFunc(s.Services, func(a, b directory.Capacity) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return s, nil
+}
--- a/internal/request/kind/kind.go
+++ b/internal/request/kind/kind.go
@@ -19,13 +19,11 @@
 	UnknownKey
 	ForbiddenRoute
 	UnknownRoute
-	RefusedMethod
 	LimitReached
 	LimitUnavailable
 	NotCurrent
 	NoConfiguration
 	NoCapacity
-	ShuttingDown
 	UnreachableBackendServer
 	ShedByBackendServer
 	DeadlineBeforeRun
@@ -69,14 +67,12 @@
 	AmbiguousKey:             {"AmbiguousKey", http.StatusBadRequest, NotRun, false, "The request carries more than one key."},
 	UnknownKey:               {"UnknownKey", http.StatusUnauthorized, NotRun, false, "The key is unknown or has been withdrawn."},
 	ForbiddenRoute:           {"ForbiddenRoute", http.StatusForbidden, NotRun, false, "The customer may not use the route."},
-	UnknownRoute:             {"UnknownRoute", http.StatusNotFound, NotRun, false, "No route matches the path."},
-	RefusedMethod:            {"RefusedMethod", http.StatusMethodNotAllowed, NotRun, false, "The route does not serve the method."},
+	UnknownRoute:             {"UnknownRoute", http.StatusNotFound, NotRun, false, "No route matches the path and the method."},
 	LimitReached:             {"LimitReached", http.StatusTooManyRequests, NotRun, true, "The customer's limit is reached."},
 	LimitUnavailable:         {"LimitUnavailable", http.StatusServiceUnavailable, NotRun, true, "The homes of the customer's limit do not answer."},
 	NotCurrent:               {"NotCurrent", http.StatusServiceUnavailable, NotRun, true, "The node cannot prove that its configuration is current."},
 	NoConfiguration:          {"NoConfiguration", http.StatusServiceUnavailable, NotRun, true, "The node has no configuration."},
 	NoCapacity:               {"NoCapacity", http.StatusServiceUnavailable, NotRun, true, "No backend server has a free slot."},
-	ShuttingDown:             {"ShuttingDown", http.StatusServiceUnavailable, NotRun, true, "The node is shutting down."},
 	UnreachableBackendServer: {"UnreachableBackendServer", http.StatusBadGateway, NotRun, true, "No connection to a backend server could be opened."},
 	ShedByBackendServer:      {"ShedByBackendServer", http.StatusServiceUnavailable, NotRun, true, "The backend server shed the request without running it."},
 	DeadlineBeforeRun:        {"DeadlineBeforeRun", http.StatusGatewayTimeout, NotRun, true, "The deadline passed before the request was sent to a backend server."},
--- /dev/null
+++ b/internal/request/kind/kind_test.go
@@ -0,0 +1,44 @@
+package kind
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// row returns a kind's line of the table in the callers' documentation.
+func row(k Kind) string {
+	a, retry := k.Answer(), "no"
+	if a.Retry {
+		retry = "yes"
+	}
+	return fmt.Sprintf("| %s | %d | %s | %s | %s |", a.Name, a.Status, a.Outcome, retry, a.Title)
+}
+
+func TestAll(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/CALLERS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := make(map[string]bool)
+	for _, k := range All() {
+		a := k.Answer()
+		if a.Name == "" || a.Status < 400 || a.Title == "" || names[a.Name] {
+			t.Errorf("kind %d has an incomplete or repeated row %+v", k, a)
+		}
+		names[a.Name] = true
+		if want := row(k); !strings.Contains(string(text), want+"\n") {
+			t.Errorf("docs/CALLERS.md lacks the row\n%s", want)
+		}
+	}
+	if got, want := strings.Count(string(text), "\n| "), len(names)+2; got != want {
+		t.Errorf("got %d rows in docs/CALLERS.md, want %d", got, want)
+	}
+}
+
+func TestKind_Answer_unknown(t *testing.T) {
+	if got := Kind(1 << 20).Answer(); got.Outcome != Unknown {
+		t.Errorf("got outcome %s of an unknown kind, want %s", got.Outcome, Unknown)
+	}
+}
