--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/standin/load"
+	"filbertturn.example/filbertturn/internal/standin/measure"
+	"filbertturn.example/filbertturn/internal/standin/process"
+)
+
+// asProgram makes the test's own program behave as standin.
+const asProgram = "STANDIN_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Setenv(asProgram, "1")
+	os.Exit(m.Run())
+}
+
+// TestLoad runs backend servers and load as processes: one of three backend
+// servers fails, and a balancer that ejects stops using it.
+func TestLoad(t *testing.T) {
+	servers, err := process.Start(os.Args[0], "backend", "--count", "3", "--linger", "10ms")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer servers.Kill()
+	addresses, err := servers.Await("listening on ", 3, 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	args := []string{
+		"load", "--json", "--policy", "consecutive-failures", "--duration", "6s", "--fault-at", "1s",
+		"--fault", `{"Mode":"error"}`, "--faulty", addresses[1],
+		"--customer", "Name=calm,Rate=60,PostShare=0.5", "--customer", "Name=over,Rate=10,Limit=1,Burst=1",
+	}
+	for _, a := range addresses {
+		args = append(args, "--backend", a)
+	}
+	var out bytes.Buffer
+	run := exec.Command(os.Args[0], args...)
+	run.Stdout, run.Stderr = &out, os.Stderr
+	if err := run.Run(); err != nil {
+		t.Fatal(err)
+	}
+	var s measure.Summary
+	if err := json.Unmarshal(out.Bytes(), &s); err != nil {
+		t.Fatalf("got %q: %v", out.String(), err)
+	}
+	if len(s.Detections) != 1 || !s.Detections[0].Found || s.Detections[0].After > 2*time.Second || s.FalseEjections != 0 {
+		t.Errorf("got detections %+v and %d false ejections, want one within 2s and none", s.Detections, s.FalseEjections)
+	}
+	if got := s.Results[load.Failed]; got < 5 || got > 40 || s.Results[load.Done]+got != s.Sent {
+		t.Errorf("got results %v of %d, want some failed and the others done", s.Results, s.Sent)
+	}
+	if s.Worst.Name != "calm" || !s.Customers[1].Over || s.Doubled != 0 {
+		t.Errorf("got worst %q, %+v, %d doubled, want calm, over its limit, none", s.Worst.Name, s.Customers[1], s.Doubled)
+	}
+	if err := servers.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-servers.Done():
+	case <-time.After(10 * time.Second):
+		t.Error("got backend servers that run on after a signal to end")
+	}
+}
--- a/internal/standin/baseline/baseline.go
+++ b/internal/standin/baseline/baseline.go
@@ -71,12 +71,15 @@
 	}, nil
 }
 
+// Exclude keeps a backend server that has not started yet out of service.
+func (b *Balancer) Exclude(server int, until time.Time) { b.servers[server].until = until }
+
 // Pick returns the backend server for a request that begins at now.
 func (b *Balancer) Pick(now time.Time) int {
 	pick := 0
 	switch b.kind {
 	case LeastOutstanding:
-		pick = b.least()
+		pick = b.least(now)
 	case RoundRobin, FailuresInARow:
 		pick = b.turn(now)
 	}
@@ -119,20 +122,23 @@
 }
 
 // least breaks ties at random, so that an idle pool is used evenly.
-func (b *Balancer) least() int {
-	best, ties := 0, 0
+func (b *Balancer) least(now time.Time) int {
+	best, ties := -1, 0
 	for i, s := range b.servers {
-		switch low := b.servers[best].outstanding; {
-		case i == 0 || s.outstanding < low:
+		if now.Before(s.until) {
+			continue
+		}
+		switch {
+		case best < 0 || s.outstanding < b.servers[best].outstanding:
 			best, ties = i, 1
-		case s.outstanding == low:
+		case s.outstanding == b.servers[best].outstanding:
 			ties++
 			if b.draws.IntN(ties) == 0 {
 				best = i
 			}
 		}
 	}
-	return best
+	return max(best, 0)
 }
 
 func (b *Balancer) ejected(now time.Time) int {
