Add the ejection decision: evidence, reports, referee and permits

Cause: owners see too little of a pool to tell a slow backend server from an unlucky one, and several of them ejecting at will can empty a pool. Change: owners sum up evidence per route in a Ledger and report it to the pool's home; the Referee compares the members side by side with cumulative likelihood ratios and grants ejections as permits that expire, within the floor.

--- /dev/null
+++ b/internal/health/evidence/window.go
@@ -0,0 +1,111 @@
+package evidence
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/health/report"
+)
+
+// sample returns the sample of a route, or nil when there are too many routes
+// for one report.
+func (s *server) sample(route string) *report.Sample {
+	i, found := slices.BinarySearchFunc(s.samples, route, func(p report.Sample, r string) int {
+		return cmp.Compare(p.Route, r)
+	})
+	if !found {
+		if len(s.samples) >= report.MaxRoutes/2 {
+			return nil
+		}
+		s.samples = slices.Insert(s.samples, i, report.Sample{Route: route})
+	}
+	return &s.samples[i]
+}
+
+// latency counts one latency, given by its logarithm.
+func (s *server) latency(route string, logarithm float64) {
+	p := s.sample(route)
+	if p == nil {
+		return
+	}
+	p.Count++
+	p.Answered++
+	p.Sum += logarithm
+	p.Squares += logarithm * logarithm
+}
+
+// fail counts one failure and makes the backend server suspect.
+func (s *server) fail(now time.Time, route string, kind Kind) {
+	s.suspect = now.Add(SuspectTime)
+	s.fault = true
+	p := s.sample(route)
+	if p == nil {
+		return
+	}
+	p.Count++
+	switch kind {
+	case Connect:
+		p.Connect++
+	case Error:
+		p.Error++
+	case Cut:
+		p.Cut++
+	case Timeout:
+		p.Timeout++
+	case Wrong:
+		p.Wrong++
+	}
+}
+
+// end removes a running request and returns it.
+func (s *server) end(id uint64) (running, bool) {
+	for i, r := range s.running {
+		if r.id == id {
+			s.running = slices.Delete(s.running, i, i+1)
+			return r, true
+		}
+	}
+	return running{}, false
+}
+
+func (s *server) readyFor(now time.Time) time.Duration {
+	if s.status.State != report.Ready {
+		return 0
+	}
+	return min(max(now.Sub(s.status.Ready), 0), report.MaxReadyFor)
+}
+
+// age returns how long a request has been running, not counting the time
+// before the end of the owner's last pause.
+func (l *Ledger) age(now time.Time, r running) time.Duration {
+	if r.start.Before(l.late) {
+		return now.Sub(l.late)
+	}
+	return now.Sub(r.start)
+}
+
+func (l *Ledger) hasOverdue(now time.Time, s *server) bool {
+	return slices.ContainsFunc(s.running, func(r running) bool {
+		return !r.overdue && l.age(now, r) >= l.Overdue(r.route)
+	})
+}
+
+// countOverdue counts each running request beyond the overdue threshold, once.
+// It has taken at least its age, so that counting it with its age never
+// overstates how slow the backend server is.
+func (l *Ledger) countOverdue(now time.Time, s *server) {
+	for i := range s.running {
+		r := &s.running[i]
+		age := l.age(now, *r)
+		if r.overdue || age < l.Overdue(r.route) {
+			continue
+		}
+		r.overdue = true
+		s.suspect = now.Add(SuspectTime)
+		s.latency(r.route, l.logarithm(r.route, age))
+		if p := s.sample(r.route); p != nil {
+			p.Overdue++
+		}
+	}
+}
--- /dev/null
+++ b/internal/health/referee/bench_test.go
@@ -0,0 +1,327 @@
+package referee_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/health/evidence"
+	"filbertturn.example/filbertturn/internal/health/permit"
+	"filbertturn.example/filbertturn/internal/health/referee"
+	"filbertturn.example/filbertturn/internal/health/report"
+)
+
+const (
+	poolSize   = 12
+	poolRate   = 30.0 // Requests per second to the pool.
+	faultStart = 30 * time.Second
+	tick       = 25 * time.Millisecond
+	usual      = 25 * time.Millisecond
+	inARow     = 5 // Failures that eject in the baseline policy.
+)
+
+var epochStart = time.Unix(1_800_000_000, 0)
+
+// act is how a backend server behaves at one moment.
+type act struct {
+	factor            float64 // Of its latency.
+	fail, wrong       float64 // Shares of requests and probes.
+	spareProbes       bool    // Probes do not fail.
+	hang              bool
+	refuses           int // Owner that cannot connect plus one, or -1 for all.
+	starting, rebuilt bool
+}
+
+type scenario struct {
+	desc     string
+	atFault  bool // Backend server 0 is at fault from faultStart on.
+	length   time.Duration
+	act      func(i int, t time.Duration) act
+	heavy    float64 // Share of requests on a route that takes 20 times as long.
+	sigma    float64
+	pause    time.Duration // Owner 0 is frozen for so long every 10 s.
+	handover bool          // Backend server 0 is to be handed over.
+}
+
+type outcome struct {
+	detected             time.Duration // Zero without a detection.
+	falsely, rowFalsely  int           // Ejections of backend servers without a fault.
+	rowDetected          time.Duration // Of the baseline policy.
+	handedOver           bool
+	serverHours          float64
+	requests, rowInARow  int
+	reports, reportBytes int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type node struct {
+	member member.Member
+	ledger evidence.Ledger
+	book   permit.Book
+}
+
+type target struct {
+	addr   netip.AddrPort
+	owner  int
+	probed time.Time
+	probe  uint64 // Probe in flight.
+	row    int
+	out    bool // Ejected at the last look.
+	rowOut bool
+}
+
+// bench drives ledgers, books and a referee through one scenario.
+type bench struct {
+	scenario
+	rng     *rand.Rand
+	now     time.Time
+	queue   events
+	nodes   [poolSize]*node
+	targets [poolSize]*target
+	home    referee.Referee
+	ids     uint64
+	out     outcome
+}
+
+func run(sc scenario, threshold float64, seed uint64) outcome {
+	b := &bench{scenario: sc, rng: rand.New(rand.NewPCG(seed, 7)), now: epochStart}
+	b.home = referee.Referee{Pool: set.Pool{Name: "p", Floor: 50, Threshold: threshold}, Epoch: 1, Term: 1}
+	for i := range poolSize {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+		b.nodes[i] = &node{member: member.Member{Address: a, Incarnation: 1}, ledger: evidence.Ledger{Pool: "p"}}
+		b.targets[i] = &target{addr: a, owner: i, probed: b.now.Add(-time.Duration(b.rng.Int64N(int64(evidence.ProbeInterval))))}
+		b.after(time.Duration(b.rng.Int64N(int64(tick))), func() { b.tick(i) })
+	}
+	b.arrive()
+	for end := epochStart.Add(sc.length); b.now.Before(end); {
+		e := heap.Pop(&b.queue).(event)
+		b.now = e.at
+		e.do()
+	}
+	b.out.serverHours = sc.length.Hours() * poolSize
+	return b.out
+}
+
+func (b *bench) after(d time.Duration, do func()) {
+	heap.Push(&b.queue, event{b.now.Add(d), do})
+}
+
+func (b *bench) behaviour(i int) act {
+	return b.act(i, b.now.Sub(epochStart))
+}
+
+// frozen returns how much longer an owner is frozen.
+func (b *bench) frozen(owner int) time.Duration {
+	if in := b.now.Sub(epochStart) % (10 * time.Second); owner == 0 && in < b.pause {
+		return b.pause - in
+	}
+	return 0
+}
+
+func (b *bench) arrive() {
+	route := "light"
+	if b.rng.Float64() < b.heavy {
+		route = "heavy"
+	}
+	var weights [poolSize]float64
+	sum := 0.0
+	for i, t := range b.targets {
+		if !b.behaviour(i).starting {
+			weights[i] = b.nodes[t.owner].book.Allowed(b.now, t.addr)
+		}
+		sum += weights[i]
+	}
+	pick := b.rng.Float64() * sum
+	for i, w := range weights {
+		if pick -= w; pick < 0 {
+			b.out.requests++
+			b.send(i, route)
+			break
+		}
+	}
+	b.after(time.Duration(b.rng.ExpFloat64()/poolRate*float64(time.Second)), b.arrive)
+}
+
+// send runs one request or probe.
+func (b *bench) send(i int, route string) {
+	a, t := b.behaviour(i), b.targets[i]
+	n := b.nodes[t.owner]
+	b.ids++
+	id, start, probe := b.ids, b.now, route == report.ProbeRoute
+	if probe {
+		t.probe, t.probed = id, b.now
+	}
+	latency := time.Duration(float64(usual) * a.factor * math.Exp(b.sigma*b.rng.NormFloat64()))
+	if route == "heavy" {
+		latency *= 20
+	}
+	failed, wrong := b.rng.Float64() < a.fail && !(probe && a.spareProbes), b.rng.Float64() < a.wrong
+	refused := a.refuses == -1 || a.refuses == t.owner+1
+	switch {
+	case refused:
+		latency = time.Millisecond
+	case a.hang:
+		latency = set.DefaultTimeout
+	}
+	n.ledger.Start(b.now, t.addr, id, route)
+	var end func()
+	end = func() {
+		if wait := b.frozen(t.owner); wait > 0 {
+			b.after(wait, end)
+			return
+		}
+		if t.probe == id {
+			t.probe = 0
+		}
+		b.row(i, failed || refused || a.hang || wrong && probe)
+		n.ledger.Observe(b.now, t.addr, observation(id, route, b.now.Sub(start), refused, a.hang, failed, wrong))
+	}
+	b.after(latency, end)
+}
+
+func observation(id uint64, route string, latency time.Duration, refused, hung, failed, wrong bool) evidence.Observation {
+	switch {
+	case route == report.ProbeRoute:
+		return evidence.Probed{ID: id, Latency: latency, OK: !refused && !hung && !failed, Wrong: wrong && !refused && !hung, Connect: refused}
+	case refused:
+		return evidence.Failed{ID: id, Route: route, Kind: evidence.Connect}
+	case hung:
+		return evidence.Failed{ID: id, Route: route, Kind: evidence.Timeout}
+	case failed:
+		return evidence.Failed{ID: id, Route: route, Kind: evidence.Error}
+	}
+	return evidence.Answered{ID: id, Route: route, Latency: latency}
+}
+
+// row is the baseline policy: ejection after failures in a row.
+func (b *bench) row(i int, failed bool) {
+	t := b.targets[i]
+	if !failed {
+		t.row, t.rowOut = 0, false
+		return
+	}
+	if t.row++; t.row >= inARow && !t.rowOut {
+		t.rowOut = true
+		b.judge(i, &b.out.rowDetected, &b.out.rowFalsely)
+	}
+}
+
+// judge counts an ejection as a detection or as a false one.
+func (b *bench) judge(i int, detected *time.Duration, falsely *int) {
+	since := b.now.Sub(epochStart.Add(faultStart))
+	switch {
+	case !b.atFault || i != 0 || since < 0:
+		*falsely++
+	case *detected == 0:
+		*detected = since
+	}
+}
+
+// tick does what an owner does on its timers.
+func (b *bench) tick(i int) {
+	n := b.nodes[i]
+	if wait := b.frozen(i); wait > 0 {
+		b.after(wait, func() {
+			n.ledger.Late(b.now, wait)
+			b.tick(i)
+		})
+		return
+	}
+	b.after(tick, func() { b.tick(i) })
+	suspects := n.ledger.Suspects(b.now)
+	for j, t := range b.targets {
+		if t.owner == i {
+			b.tend(j, n, suspects)
+		}
+	}
+	if n.ledger.Due(b.now) {
+		b.exchange(n)
+	}
+	for j, t := range b.targets {
+		if t.owner == i {
+			out := n.book.Allowed(b.now, t.addr) == 0
+			if out && !t.out {
+				b.judge(j, &b.out.detected, &b.out.falsely)
+			}
+			t.out = out
+		}
+	}
+}
+
+// tend refreshes the status of a backend server and probes it when it is time.
+func (b *bench) tend(j int, n *node, suspects []netip.AddrPort) {
+	t, a := b.targets[j], b.behaviour(j)
+	status := evidence.Status{State: report.Ready, Slots: 3, Ready: epochStart.Add(-time.Hour)}
+	if a.rebuilt {
+		status.Ready = epochStart.Add(faultStart)
+	}
+	if a.starting {
+		status.State = report.Starting
+	}
+	n.ledger.Own(t.addr, status)
+	wait := evidence.ProbeInterval
+	for _, s := range suspects {
+		if s == t.addr {
+			wait = evidence.SuspectProbe
+		}
+	}
+	since := b.now.Sub(t.probed)
+	if since >= wait && (t.probe == 0 || since >= n.ledger.Overdue(report.ProbeRoute)) && !a.starting {
+		b.send(j, report.ProbeRoute)
+	}
+}
+
+// exchange sends a report to the home and takes its ruling, through the codec.
+func (b *bench) exchange(n *node) {
+	bytes, err := report.EncodeReport(n.ledger.Report(b.now, 1))
+	if err != nil {
+		panic(err)
+	}
+	b.out.reports++
+	b.out.reportBytes += len(bytes)
+	p, _ := report.DecodeReport(bytes)
+	b.home.Submit(b.now, n.member, p)
+	for _, r := range b.home.Rule(b.now) {
+		n.ledger.Learn(b.now, r)
+		n.book.Grant(b.now, b.now, r)
+		for _, v := range r.Verdicts {
+			if h, ok := v.(report.Handover); ok {
+				b.pass(n, h)
+			}
+		}
+	}
+}
+
+func (b *bench) pass(n *node, h report.Handover) {
+	for _, t := range b.targets {
+		if t.addr == h.Address {
+			n.ledger.Disown(h.Address)
+			b.out.handedOver = b.out.handedOver || t.addr == b.targets[0].addr
+			for j, o := range b.nodes {
+				if o.member == h.To {
+					t.owner = j
+				}
+			}
+		}
+	}
+}
