Show the whole system in one command

Cause: a new user had no way to see the system work. Found by it: a retry went to the backend server that had just failed, since the owner broke ties by address and was not told; a short answer that was cut after its header could not be asked for again; a roster was formed only 2.8 s after a publish into an empty store. Change: scripts/demo; retries name the backend servers to avoid; answers of up to 16 KiB to idempotent requests are read to their end before the caller sees them; nodes form the first roster at once.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(storeCommand(), backendCommand(), loadCommand(), measureCommand())
+	root.AddCommand(storeCommand(), backendCommand(), loadCommand(), measureCommand(), demoCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -53,6 +53,7 @@
 	Header        http.Header
 	Body          io.ReadCloser
 	ContentLength int64 // Bytes in Body; -1 if unknown.
+	BackendServer netip.AddrPort
 
 	// Trailer is complete once Body has returned io.EOF.
 	Trailer func() http.Header
@@ -294,6 +295,7 @@
 		Header:        resp.Header,
 		Body:          &answerBody{x: x, resp: resp},
 		ContentLength: resp.ContentLength,
+		BackendServer: x.client.Address,
 		Trailer:       func() http.Header { return resp.Trailer },
 	}, nil
 }
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -3,7 +3,9 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -25,6 +27,10 @@
 // maxAttempts bounds the attempts at one request, whatever the budget says.
 const maxAttempts = 3
 
+// maxGathered is the longest answer, in bytes, that is read to its end before
+// the caller sees any of it.
+const maxGathered = 16 << 10
+
 // Forwarder implements the sink of the entry's pipeline.
 type Forwarder struct {
 	Self       netip.AddrPort
@@ -43,6 +49,7 @@
 	body    *replay.Body
 	tried   map[netip.AddrPort]bool
 	number  int
+	avoid   []netip.AddrPort // Backend servers that failed.
 	service string
 }
 
@@ -57,9 +64,19 @@
 		if !f.again(ctx, a, answer, err) {
 			return answer, err
 		}
-		if answer != nil {
-			_ = answer.Body.Close()
-		}
+		a.note(answer, err)
+	}
+}
+
+// note remembers the backend server that an attempt failed at.
+func (a *attempt) note(answer *exchange.Answer, err error) {
+	if answer != nil {
+		a.avoid = append(a.avoid, answer.BackendServer)
+		_ = answer.Body.Close()
+		return
+	}
+	if f := failure.From(err); f.BackendServer.IsValid() {
+		a.avoid = append(a.avoid, f.BackendServer)
 	}
 }
 
@@ -79,6 +96,7 @@
 	// The owner and the exchange change the header.
 	c := *a.call
 	c.Header = a.call.Header.Clone()
+	c.Avoid = a.avoid
 	c.ID = a.call.ID + "-" + strconv.Itoa(a.number)
 	answer, err := f.send(ctx, to, &c, body)
 	if err != nil {
@@ -86,6 +104,28 @@
 		return nil, err
 	}
 	answer.Body = &countedBody{ReadCloser: answer.Body, done: func() { f.done(to, a.service) }}
+	return gather(&c, answer)
+}
+
+// gather reads a short answer to its end before the caller sees any of it, so
+// that one that is cut short can still be asked for again.
+func gather(c *call.Call, answer *exchange.Answer) (*exchange.Answer, error) {
+	if !c.Idempotent || answer.ContentLength <= 0 || answer.ContentLength > maxGathered || c.Method == http.MethodHead {
+		return answer, nil
+	}
+	whole := make([]byte, answer.ContentLength)
+	_, err := io.ReadFull(answer.Body, whole)
+	if err == nil {
+		// The end of the body tells that the answer was whole.
+		_, err = answer.Body.Read(make([]byte, 1))
+	}
+	closeErr := answer.Body.Close()
+	if !errors.Is(err, io.EOF) {
+		f := failure.From(errors.Join(err, closeErr))
+		f.BackendServer = answer.BackendServer
+		return nil, f
+	}
+	answer.Body = io.NopCloser(bytes.NewReader(whole))
 	return answer, nil
 }
 
--- a/internal/node/membership/store.go
+++ b/internal/node/membership/store.go
@@ -119,7 +119,7 @@
 	if rank >= 0 {
 		return -1
 	}
-	if m.state.Head().Sequence == 0 {
+	if len(m.state.Head().Roster) == 0 {
 		return 0
 	}
 	for i, j := range m.state.Joining(now) {
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -183,7 +183,7 @@
 	if f := o.Authority.Authorize(time.Now(), c); f != nil {
 		return nil, f
 	}
-	s := o.choose(time.Now(), c.Pool)
+	s := o.choose(time.Now(), c)
 	if s == nil {
 		return nil, failure.New(kind.NoCapacity, "no backend server of the service is ready", nil)
 	}
@@ -198,7 +198,9 @@
 	answer, err := x.run(ctx, body)
 	if err != nil {
 		x.end()
-		return nil, err
+		f := failure.From(err)
+		f.BackendServer = s.address
+		return nil, f
 	}
 	return answer, nil
 }
@@ -224,15 +226,17 @@
 }
 
 // choose returns the eligible backend server with the greatest free share of
-// its slots. One on probation takes part only in as many choices as its weight
-// says.
-func (o *Owner) choose(now time.Time, p set.Pool) *server {
+// its slots, one of them by lot. One on probation takes part only in as many
+// choices as its weight says, and one that failed at an earlier attempt only if
+// there is no other.
+func (o *Owner) choose(now time.Time, c *call.Call) *server {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
-	permits := o.pools[p.Name]
-	var best *server
+	permits := o.pools[c.Pool.Name]
+	var best, avoided *server
 	bestShare := 0.0
-	for _, e := range o.book.Eligible(now, p.Service) {
+	ties := 0
+	for _, e := range o.book.Eligible(now, c.Pool.Service) {
 		s := o.servers[e.BackendServer]
 		if s == nil {
 			continue
@@ -240,9 +244,22 @@
 		if weight := permits.allowed(now, e.BackendServer); weight < 1 && rand.Float64() >= weight {
 			continue
 		}
-		if free := s.freeShare(); best == nil || free > bestShare {
-			best, bestShare = s, free
+		if slices.Contains(c.Avoid, e.BackendServer) {
+			avoided = s
+			continue
 		}
+		switch free := s.freeShare(); {
+		case best == nil || free > bestShare:
+			best, bestShare, ties = s, free, 1
+		case free == bestShare:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = s
+			}
+		}
+	}
+	if best == nil {
+		return avoided
 	}
 	return best
 }
--- a/internal/peer/courier/courier.go
+++ b/internal/peer/courier/courier.go
@@ -76,6 +76,7 @@
 		TimeoutNanos:  int64(timeout),
 		RequestId:     c.ID,
 		Sequence:      c.Sequence,
+		Avoid:         texts(c.Avoid),
 	}
 }
 
@@ -94,6 +95,24 @@
 	return list
 }
 
+func texts(list []netip.AddrPort) []string {
+	out := make([]string, 0, len(list))
+	for _, a := range list {
+		out = append(out, a.String())
+	}
+	return out
+}
+
+// address returns the zero value for text that is no address: what it tells is
+// only a hint.
+func address(text string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
 func headers(list []*peerpb.Field) http.Header {
 	h := make(http.Header, len(list))
 	for _, f := range list {
@@ -186,6 +205,7 @@
 			Header:        headers(body.Answer.GetHeaders()),
 			Body:          reader,
 			ContentLength: body.Answer.GetContentLength(),
+			BackendServer: address(body.Answer.GetBackendServer()),
 			Trailer:       func() http.Header { return reader.trailer },
 		}, nil
 	default:
@@ -198,6 +218,8 @@
 		Kind:       kind.Kind(f.GetKind()),
 		RetryAfter: time.Duration(f.GetRetryAfterNanos()),
 		Detail:     f.GetDetail(),
+
+		BackendServer: address(f.GetBackendServer()),
 	}
 }
 
@@ -289,6 +311,9 @@
 		Sequence:      head.GetSequence(),
 	}
 	copy(c.KeyHash[:], head.GetKeyHash())
+	for _, text := range head.GetAvoid() {
+		c.Avoid = append(c.Avoid, address(text))
+	}
 	return c
 }
 
@@ -347,6 +372,7 @@
 		Kind:            uint32(f.Kind),
 		RetryAfterNanos: int64(f.RetryAfter),
 		Detail:          f.Detail,
+		BackendServer:   f.BackendServer.String(),
 	}}})
 }
 
@@ -355,6 +381,7 @@
 		Status:        int32(answer.Status),
 		Headers:       fields(answer.Header),
 		ContentLength: answer.ContentLength,
+		BackendServer: answer.BackendServer.String(),
 	}
 	if stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Answer{Answer: head}}) != nil {
 		return
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/config/set"
@@ -25,5 +26,6 @@
 	Pool       set.Pool
 	Timeout    time.Duration // Longest time for the whole answer, from arrival.
 	Idempotent bool
-	Sequence   uint64 // Head under which the entry admitted the request.
+	Avoid      []netip.AddrPort // Backend servers that failed at earlier attempts.
+	Sequence   uint64           // Head under which the entry admitted the request.
 }
--- a/internal/request/failure/failure.go
+++ b/internal/request/failure/failure.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -16,6 +17,10 @@
 	RetryAfter time.Duration // Time after which coming back can help; zero means that the default applies.
 	Detail     string        // Particulars for the caller; never holds a key.
 	Err        error         // Cause, for the node's log only.
+
+	// BackendServer is the one that the request was meant for; the zero value if
+	// none was chosen.
+	BackendServer netip.AddrPort
 }
 
 // New returns a failure of kind k with particulars.
--- /dev/null
+++ b/internal/standin/cluster/extension.go
@@ -0,0 +1,40 @@
+package cluster
+
+import (
+	"fmt"
+	"net/netip"
+
+	"filbertturn.example/filbertturn/internal/standin/process"
+)
+
+// Token is the operator's token, for the administration addresses.
+func (c *Cluster) Token() string { return operatorToken }
+
+// Announce returns the addresses that backend servers announce themselves at.
+func (c *Cluster) Announce() []netip.AddrPort { return c.announce }
+
+// Serve starts further backend servers of another service and returns their
+// addresses.
+func (c *Cluster) Serve(service, dataCentre string, count int) ([]netip.AddrPort, error) {
+	addresses, err := c.settings.Ports.Take(count)
+	if err != nil {
+		return nil, err
+	}
+	for _, a := range addresses {
+		args := []string{"backend", "--listen", a.String(), "--service", service, "--data-centre", dataCentre}
+		for _, to := range c.announce {
+			args = append(args, "--announce", to.String())
+		}
+		p, err := c.run(c.settings.Standin, args...)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := p.Await(listening, 1, startTimeout); err != nil {
+			return nil, fmt.Errorf("cluster: backend server %s: %w", a, err)
+		}
+	}
+	return addresses, nil
+}
+
+// Processes returns all processes, in the order of their start.
+func (c *Cluster) Processes() []*process.Process { return c.processes }
