Test currency, rosters, codec and clocks on whole fleets

Cause: the rule of who is current had no test. Ruled out: a model beside the code; the schedules drive State, Steward and the codec themselves, and an observer that sees all judges them.

--- /dev/null
+++ b/internal/fleet/codec/codec_test.go
@@ -0,0 +1,221 @@
+package codec
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+	"filbertturn.example/filbertturn/internal/fleet/currency"
+	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/fleet/succession"
+)
+
+var someMember = rapid.Custom(func(t *rapid.T) member.Member {
+	ip := netip.AddrFrom4([4]byte{10, 0, 0, rapid.Byte().Draw(t, "host")})
+	if rapid.Bool().Draw(t, "v6") {
+		ip = netip.AddrFrom16([16]byte{0xfd, 15: rapid.Byte().Draw(t, "host6")})
+	}
+	return member.Member{
+		Address:     netip.AddrPortFrom(ip, rapid.Uint16().Draw(t, "port")),
+		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+		DataCentre:  rapid.StringN(0, 20, MaxName).Draw(t, "dataCentre"),
+		Region:      rapid.StringN(0, 20, MaxName).Draw(t, "region"),
+	}
+})
+
+var someMembers = rapid.SliceOfN(someMember, 0, 6)
+
+func TestEncodeDigest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := currency.Digest{
+			From:     someMember.Draw(t, "from"),
+			Sequence: rapid.Uint64().Draw(t, "sequence"), Epoch: rapid.Uint64().Draw(t, "epoch"),
+			Accepted: rapid.Uint64().Draw(t, "accepted"), Newest: rapid.Uint64().Draw(t, "newest"),
+			Proven:       rapid.Bool().Draw(t, "proven"),
+			Attestations: make([]currency.Attestation, rapid.IntRange(0, 40).Draw(t, "roster")),
+			Resigned:     append([]member.Member(nil), someMembers.Draw(t, "resigned")...),
+		}
+		if want.Proven {
+			want.ProofAge = time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "proofAge"))
+		}
+		for i := range want.Attestations {
+			age := currency.Age(rapid.Byte().Draw(t, "age"))
+			want.Attestations[i] = currency.Attestation{Age: age, Reached: rapid.Bool().Draw(t, "reached")}
+		}
+		for _, m := range someMembers.Draw(t, "joining") {
+			want.Joining = append(want.Joining, currency.Newcomer{Member: m, Age: 7})
+		}
+		b, err := EncodeDigest(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := DecodeDigest(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.ProofAge < want.ProofAge || got.ProofAge >= want.ProofAge+time.Microsecond {
+			t.Fatalf("age of the proof: got %v, want %v rounded up", got.ProofAge, want.ProofAge)
+		}
+		got.ProofAge = want.ProofAge
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	})
+}
+
+func TestEncodeHead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want head.Head
+		for range rapid.IntRange(1, 4).Draw(t, "heads") {
+			c := succession.Change{Revision: want.Revision + 1, Manifest: "m", Join: someMembers.Draw(t, "join"), Ended: want.Roster[len(want.Roster)/2:]}
+			want = succession.Next(want, false, c)
+		}
+		codecs := []struct {
+			desc   string
+			encode func(head.Head) ([]byte, error)
+			decode func([]byte) (head.Head, error)
+		}{{"text", MarshalHead, UnmarshalHead}, {"protobuf", EncodeHead, DecodeHead}}
+		for _, c := range codecs {
+			b, err := c.encode(want)
+			if err != nil {
+				t.Fatalf("%s: %v", c.desc, err)
+			}
+			got, err := c.decode(b)
+			if err != nil {
+				t.Fatalf("%s: %v in %s", c.desc, err, b)
+			}
+			if again, _ := c.encode(got); !bytes.Equal(again, b) || fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("%s: got %+v, want %+v", c.desc, got, want)
+			}
+		}
+	})
+}
+
+// TestUnmarshalHead_invalid checks that a record which breaks a rule is refused
+// with the name of the field.
+func TestUnmarshalHead_invalid(t *testing.T) {
+	const members = `"Members":[{"Address":"10.0.0.1:1"},{"Address":"10.0.0.2:1"}]`
+	tests := []struct{ desc, text, want string }{
+		{"not a record", `[]`, ""},
+		{"unordered members", `{"Members":[{"Address":"10.0.0.2:1"},{"Address":"10.0.0.1:1"}]}`, "Members[1]"},
+		{"no address", `{"Members":[{}]}`, "Members[0]"},
+		{"place beyond the members", `{` + members + `,"Roster":[2]}`, "Roster[0]"},
+		{"member twice", `{` + members + `,"Pending":[[0],[1,1]]}`, "Pending[1][1]"},
+		{"unordered places", `{` + members + `,"Ended":[1,0]}`, "Ended[1]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			_, err := UnmarshalHead([]byte(tt.text))
+			var got *Error
+			if !errors.As(err, &got) || got.Field != tt.want {
+				t.Errorf("got %v, want an error at %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// large returns a head of 490 members with two pending rosters, and the digest
+// of a node that hears of all of them.
+func large() (head.Head, currency.Digest) {
+	var all []member.Member
+	for i := range 490 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		all = append(all, member.Member{Address: address, Incarnation: uint64(time.Unix(1.7e9, 0).UnixNano()), DataCentre: "region-1-centre-1", Region: "region-1"})
+	}
+	h := succession.Next(head.Head{}, true, succession.Change{Join: all})
+	h = succession.Next(h, false, succession.Change{Leave: all[:10]})
+	h = succession.Next(h, false, succession.Change{Join: all[:10], Leave: all[10:20], Manifest: "m"})
+	d := currency.Digest{From: all[0], Sequence: 1e6, Epoch: 1e6, Accepted: 1e6, Newest: 1e6, Proven: true, ProofAge: time.Second}
+	d.Attestations = make([]currency.Attestation, len(all))
+	for i := range d.Attestations {
+		d.Attestations[i] = currency.Attestation{Age: currency.Age(i), Reached: true}
+	}
+	return h, d
+}
+
+func TestEncodeDigest_size(t *testing.T) {
+	h, d := large()
+	if b, err := EncodeDigest(d); err != nil || len(b) >= 1<<10 {
+		t.Errorf("digest: got %d bytes and %v, want fewer than 1 KiB", len(b), err)
+	}
+	if b, err := MarshalHead(h); err != nil || len(b) >= 200_000 {
+		t.Errorf("head: got %d bytes and %v, want fewer than 200 kB", len(b), err)
+	}
+}
+
+func FuzzDecodeDigest(f *testing.F) {
+	_, d := large()
+	b, _ := EncodeDigest(d)
+	f.Add(b)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := DecodeDigest(b)
+		if err != nil {
+			return
+		}
+		again, err := EncodeDigest(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := DecodeDigest(again); err != nil || !reflect.DeepEqual(got, d) {
+			t.Errorf("got %+v and %v, want %+v", got, err, d)
+		}
+	})
+}
+
+func FuzzDecodeHead(f *testing.F) {
+	h, _ := large()
+	text, _ := MarshalHead(h)
+	f.Add(text)
+	b, _ := EncodeHead(h)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, decode := range []func([]byte) (head.Head, error){UnmarshalHead, DecodeHead} {
+			h, err := decode(b)
+			if err != nil {
+				continue
+			}
+			text, err := MarshalHead(h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := UnmarshalHead(text); err != nil || fmt.Sprint(got) != fmt.Sprint(h) {
+				t.Errorf("got %+v and %v, want %+v", got, err, h)
+			}
+		}
+	})
+}
+
+func BenchmarkEncodeDigest(b *testing.B) {
+	_, d := large()
+	var encoded []byte
+	for b.Loop() {
+		encoded, _ = EncodeDigest(d)
+	}
+	b.ReportMetric(float64(len(encoded)), "bytes")
+}
+
+func BenchmarkDecodeDigest(b *testing.B) {
+	_, d := large()
+	encoded, _ := EncodeDigest(d)
+	for b.Loop() {
+		_, _ = DecodeDigest(encoded)
+	}
+}
+
+func BenchmarkMarshalHead(b *testing.B) {
+	h, _ := large()
+	var text []byte
+	for b.Loop() {
+		text, _ = MarshalHead(h)
+	}
+	b.ReportMetric(float64(len(text)), "bytes")
+}
--- /dev/null
+++ b/internal/fleet/currency/spread_test.go
@@ -0,0 +1,101 @@
+package currency_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/fleet/codec"
+	"filbertturn.example/filbertturn/internal/fleet/currency"
+	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/fleet/succession"
+)
+
+const fleetSize = 490
+
+// pullers returns states of 490 members that run one head.
+func pullers() []*currency.State {
+	var roster []member.Member
+	for i := range fleetSize {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		roster = append(roster, member.Member{Address: address, Incarnation: 1, DataCentre: fmt.Sprint(i % 6)})
+	}
+	h := succession.Next(head.Head{}, true, succession.Change{Join: roster})
+	states := make([]*currency.State, fleetSize)
+	for i, m := range roster {
+		states[i] = currency.New(m, 0)
+		_ = states[i].Run(start, h)
+	}
+	return states
+}
+
+// pull lets each state ask a random other one, with the answers underway for
+// 20 ms, and returns the bytes of one digest.
+func pull(states []*currency.State, rng *rand.Rand, now time.Time) int {
+	size := 0
+	for _, s := range states {
+		d := states[rng.IntN(len(states))].Digest(now.Add(-10 * time.Millisecond))
+		s.ObservePeer(now.Add(-20*time.Millisecond), now, d)
+		if size == 0 {
+			b, _ := codec.EncodeDigest(d)
+			size = len(b)
+		}
+	}
+	return size
+}
+
+// BenchmarkState_spread keeps the store away and reports the share of nodes that
+// are current over ten seconds, for questions to random peers at several rates,
+// and what a node sends and receives for it.
+func BenchmarkState_spread(b *testing.B) {
+	for _, rate := range []int{2, 4, 6, 8, 10, 15} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			for b.Loop() {
+				rng := rand.New(rand.NewPCG(1, 1))
+				states := pullers()
+				current, checks, size := 0, 0, 0
+				for i := range 13 * rate {
+					now := start.Add(time.Duration(i+1) * time.Second / time.Duration(rate))
+					size = pull(states, rng, now)
+					for _, s := range states {
+						if now.Sub(start) < 3*time.Second {
+							continue
+						}
+						checks++
+						if s.Current(now.Add(time.Second / time.Duration(rate))).Current {
+							current++
+						}
+					}
+				}
+				b.ReportMetric(100*float64(current)/float64(checks), "%current")
+				b.ReportMetric(float64(2*rate*size), "bytes/s")
+			}
+		})
+	}
+}
+
+func BenchmarkState_ObservePeer(b *testing.B) {
+	states := pullers()
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := start
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		pull(states, rng, now)
+	}
+	d := states[1].Digest(now)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		states[0].ObservePeer(now, now, d)
+		states[0].Current(now)
+	}
+}
+
+func BenchmarkState_Digest(b *testing.B) {
+	states := pullers()
+	for b.Loop() {
+		states[0].Digest(start)
+	}
+}
--- /dev/null
+++ b/internal/fleet/currency/state_test.go
@@ -0,0 +1,48 @@
+package currency_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+)
+
+// TestState_Current drives the states of a whole fleet through faults of the
+// network, the store, the clocks and the processes. No node may be current on an
+// older head once a head is in force, and the fleet is whole after the faults.
+func TestState_Current(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(plans.Draw(t, "plan"), noMistake)
+		if problem := w.play(15 * time.Second); problem != "" {
+			t.Fatal(problem)
+		}
+	})
+}
+
+// TestState_Current_mistakes shows that the same schedules find mistakes in the
+// code around the decisions.
+func TestState_Current_mistakes(t *testing.T) {
+	tests := []struct {
+		desc    string
+		mistake mistake
+	}{
+		{"ages are counted from the arrival of the answer", agesFromArrival},
+		{"a head counts as accepted without a half", acceptedAtOnce},
+		{"only the last roster is pending", lastRosterOnly},
+		{"a suspension of the VM is not noticed", undetectedPauses},
+	}
+	const most = 400
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			for i := range most {
+				if problem := newWorld(plans.Example(i), tt.mistake).play(0); problem != "" {
+					t.Logf("schedule %d: %s", i, problem)
+					return
+				}
+			}
+			t.Errorf("got no violation in %d schedules, want one", most)
+		})
+	}
+}
--- a/internal/fleet/currency/verdict.go
+++ b/internal/fleet/currency/verdict.go
@@ -38,11 +38,10 @@
 
 // Reasons for a node not to be current.
 const (
-	ReasonNoHead       = "no head has been received since the start"
-	ReasonResigned     = "the node has resigned for its planned stop"
-	ReasonNewerHead    = "a newer head exists and is not running yet"
-	ReasonNoProof      = "neither the store nor a majority of the roster has answered within the window"
-	ReasonOutsideStore = "the store has not answered within the window, and the roster is empty"
+	ReasonNoHead    = "no head has been received since the start"
+	ReasonResigned  = "the node has resigned for its planned stop"
+	ReasonNewerHead = "a newer head exists and is not running yet"
+	ReasonNoProof   = "neither the store nor a majority of the roster has answered within the window"
 )
 
 // lapse holds the last instants at which each basis holds.
@@ -62,7 +61,7 @@
 		return Verdict{Reason: ReasonResigned}
 	}
 	if s.stale {
-		s.lapse = s.reckon()
+		s.lapse = s.reckon(now)
 		s.stale = false
 	}
 	l := s.lapse
@@ -80,33 +79,31 @@
 		return Verdict{Current: true, By: ByAttestations, Until: until}
 	case s.newest > s.head.Sequence:
 		return Verdict{Reason: ReasonNewerHead}
-	case len(s.head.Roster) == 0:
-		return Verdict{Reason: ReasonOutsideStore}
 	}
 	return Verdict{Reason: ReasonNoProof}
 }
 
-// reckon works out how long each basis holds.
-func (s *State) reckon() lapse {
+// reckon works out how long each basis holds, for a call at now.
+func (s *State) reckon(now time.Time) lapse {
 	var l lapse
 	if !s.proof.usable.at.IsZero() {
 		l.store = s.proof.usable.at.Add(s.window)
 	}
 	need := len(s.head.Roster)/2 + 1
-	var seen []time.Time
+	ages := make([]time.Duration, 0, len(s.head.Roster))
 	for i, m := range s.head.Roster {
 		v := &s.votes[i]
 		switch {
 		case m == s.self:
 			need--
 		case v.counts(s.head.Sequence):
-			seen = append(seen, v.usable.at)
+			ages = append(ages, now.Sub(v.usable.at))
 		}
 	}
 	l.alone = need == 0
-	if need > 0 && need <= len(seen) {
-		slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
-		l.attestations = seen[need-1].Add(s.window)
+	if need > 0 && need <= len(ages) {
+		slices.Sort(ages)
+		l.attestations = now.Add(s.window - ages[need-1])
 	}
 	return l
 }
--- /dev/null
+++ b/internal/fleet/suspend/detector_test.go
@@ -0,0 +1,71 @@
+package suspend
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+)
+
+// TestDetector_Observe checks that no suspension beyond MaxMissed within any ten
+// seconds goes unnoticed, and that a slowly corrected wall clock is not reported.
+func TestDetector_Observe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d Detector
+		wall, mono := 100*time.Hour, time.Duration(0)
+		type pause struct{ at, length time.Duration }
+		var missed []pause
+		for range rapid.IntRange(1, 60).Draw(t, "readings") {
+			run := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "run"))
+			mono += run
+			wall += run + run/2000 // The wall clock is corrected by 0.5 ms a second.
+			suspended := time.Duration(rapid.Int64Range(0, int64(2*Threshold)).Draw(t, "suspended"))
+			if rapid.Bool().Draw(t, "running") {
+				suspended = 0
+			}
+			wall += suspended
+			reported := d.Observe(wall, mono)
+			if reported {
+				missed = nil
+				continue
+			}
+			missed = append(missed, pause{mono, suspended})
+			var total time.Duration
+			for _, p := range missed[1:] {
+				if mono-p.at < anchorLife {
+					total += p.length
+				}
+			}
+			if len(missed) > 1 && total > MaxMissed {
+				t.Fatalf("got no report at %v, want one: suspended for %v", mono, total)
+			}
+		}
+	})
+}
+
+func TestDetector_Observe_steps(t *testing.T) {
+	tests := []struct {
+		desc string
+		step time.Duration
+		want bool
+	}{
+		{"clocks agree", 0, false},
+		{"within the threshold", Threshold, false},
+		{"wall clock ran ahead", Threshold + 1, true},
+		{"wall clock went back", -Threshold - 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var d Detector
+			d.Observe(time.Hour, time.Second)
+			if got := d.Observe(time.Hour+time.Second+tt.step, 2*time.Second); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+			if d.Observe(time.Hour+2*time.Second+tt.step, 3*time.Second) {
+				t.Error("got a second report of one step")
+			}
+		})
+	}
+}
