--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -56,6 +57,7 @@
 	store     netip.AddrPort
 	nodes     []*process.Process
 	processes []*process.Process
+	held      []net.Listener // Keep the ports of the late backend servers.
 }
 
 // Start runs the processes, publishes the set and waits until every node is
@@ -71,11 +73,31 @@
 
 // Close ends all processes at once.
 func (c *Cluster) Close() {
+	c.release()
 	for _, p := range c.processes {
 		p.Kill()
 	}
 }
 
+// hold takes the ports of the late backend servers until release.
+func (c *Cluster) hold(ctx context.Context) error {
+	for _, a := range c.BackendServers[c.settings.Servers-c.settings.Late:] {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.String())
+		if err != nil {
+			return fmt.Errorf("cluster: hold port: %w", err)
+		}
+		c.held = append(c.held, l)
+	}
+	return nil
+}
+
+func (c *Cluster) release() {
+	for _, l := range c.held {
+		_ = l.Close()
+	}
+	c.held = nil
+}
+
 // NodeID returns the process identifier of a node.
 func (c *Cluster) NodeID(i int) int { return c.nodes[i].ID() }
 
@@ -90,6 +112,9 @@
 	if c.BackendServers, err = c.settings.Ports.Take(c.settings.Servers); err != nil {
 		return err
 	}
+	if err := c.hold(ctx); err != nil {
+		return err
+	}
 	if c.settings.Nodes > 0 {
 		if err := c.startFleet(ctx); err != nil {
 			return err
@@ -106,6 +131,7 @@
 
 // StartLate starts the backend servers that were held back.
 func (c *Cluster) StartLate() error {
+	c.release()
 	return c.serve(c.settings.Servers-c.settings.Late, c.settings.Servers)
 }
 
@@ -242,26 +268,26 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
-		current, servers := c.view(ctx)
+		current, servers, reasons := c.view(ctx)
 		if current == c.settings.Nodes && servers >= c.settings.Servers-c.settings.Late {
 			return nil
 		}
 		if !sleep(ctx, 100*time.Millisecond) {
-			return fmt.Errorf("cluster: %d of %d nodes current with %d backend servers; node: %s",
-				current, c.settings.Nodes, servers, c.nodes[0].Output())
+			return fmt.Errorf("cluster: %d of %d nodes current with %d backend servers: %s", current, c.settings.Nodes, servers, reasons)
 		}
 	}
 }
 
-func (c *Cluster) view(ctx context.Context) (current, servers int) {
+// view asks every node and returns how many are current, how many backend
+// servers are in service, and the reasons and last outputs of the other nodes.
+func (c *Cluster) view(ctx context.Context) (current, servers int, reasons string) {
 	ready := map[netip.AddrPort]bool{}
-	for _, a := range c.Admins {
+	for i, a := range c.Admins {
 		s, err := GetStatus(ctx, a)
-		if err != nil {
-			continue
-		}
-		if s.Current && s.Revision > 0 {
+		if err == nil && s.Current && s.Revision > 0 {
 			current++
+		} else {
+			reasons += fmt.Sprintf("node %d: %v, revision %d, %s; %s; ", i, err, s.Revision, s.Reason, c.nodes[i].Output())
 		}
 		for _, b := range s.BackendServers {
 			if b.State == "Ready" && b.Weight > 0 {
@@ -269,7 +295,7 @@
 			}
 		}
 	}
-	return current, len(ready)
+	return current, len(ready), reasons
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/standin/cluster/extension.go
+++ b/internal/standin/cluster/extension.go
@@ -38,3 +38,14 @@
 
 // Processes returns all processes, in the order of their start.
 func (c *Cluster) Processes() []*process.Process { return c.processes }
+
+// Restart starts a node that has ended anew, at the same addresses.
+func (c *Cluster) Restart(i int) error {
+	p, err := c.nodes[i].Again()
+	if err != nil {
+		return err
+	}
+	c.nodes[i] = p
+	c.processes = append(c.processes, p)
+	return nil
+}
--- a/internal/standin/comparison/comparison.go
+++ b/internal/standin/comparison/comparison.go
@@ -13,6 +13,9 @@
 	"filbertturn.example/filbertturn/internal/standin/measure"
 )
 
+// MaxLag is the p99 of the sending lag above which a run counts as disturbed.
+const MaxLag = 10 * time.Millisecond
+
 // Spread is a figure over several runs.
 type Spread struct {
 	Min, Median, Max float64
@@ -25,6 +28,7 @@
 	Policy     string
 	Runs       int
 	Errors     []string `json:",omitempty"` // Of runs that gave no figures.
+	Disturbed  int      // Runs on a machine that was too busy to send in time.
 
 	Detect     bool
 	Detections int    // Faulty backend servers, over all runs.
@@ -87,6 +91,9 @@
 
 func (r *Row) add(s measure.Summary) {
 	r.Runs++
+	if s.LagP99 > MaxLag {
+		r.Disturbed++
+	}
 	r.Sent += s.Sent
 	for _, d := range s.Detections {
 		r.Detections++
--- a/internal/standin/comparison/table.go
+++ b/internal/standin/comparison/table.go
@@ -37,6 +37,9 @@
 	if len(r.Errors) > 0 {
 		failed = fmt.Sprintf(" (%d runs failed)", len(r.Errors))
 	}
+	if r.Disturbed > 0 {
+		failed += fmt.Sprintf(" (%d of %d runs disturbed)", r.Disturbed, r.Runs)
+	}
 	n := r.Results
 	return fmt.Sprintf("| %s | %s%s | %s | %s | %s | %s | %s | %s, %s | %d, %d, %d, %d, %d | %d, %d |\n",
 		r.Scenario, r.Policy, failed,
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -99,6 +99,7 @@
 	Method   string
 	Target   netip.AddrPort
 	At       time.Duration // Planned, since the beginning of the run.
+	Lag      time.Duration // From the planned moment to the sending.
 	Latency  time.Duration // From the planned moment to the end of the answer.
 	Status   int           // Zero if there was no answer.
 	Result   Result
@@ -188,6 +189,7 @@
 		Customer: a.Customer,
 		Method:   a.Method,
 		At:       a.At,
+		Lag:      time.Since(g.started.Add(a.At)),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Timeout+grace)
 	defer cancel()
--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -91,6 +91,7 @@
 	FalseNotRun    int      // Requests refused as not run that did run.
 	P50            time.Duration
 	P99            time.Duration
+	LagP99         time.Duration // From the planned moment to the sending; it shows a machine that is too busy.
 }
 
 // Summarise computes the figures of a run.
@@ -104,14 +105,16 @@
 		Detections: in.detect(),
 		Customers:  in.customers(),
 	}
-	done := histogram()
+	done, lags := histogram(), histogram()
 	for _, r := range in.Records {
 		s.Results[r.Result]++
+		record(lags, r.Lag)
 		if r.Result == load.Done {
 			record(done, r.Latency)
 		}
 	}
 	s.P50, s.P99 = quantile(done, 50), quantile(done, 99)
+	s.LagP99 = quantile(lags, 99)
 	s.Doubled, s.FalseNotRun = in.doubles()
 	s.FalseEjections, s.HealthyTime = in.falseEjections()
 	first := true
--- a/internal/standin/measure/table.go
+++ b/internal/standin/measure/table.go
@@ -28,6 +28,7 @@
 		row("  "+string(r), "%d", s.Results[r])
 	}
 	row("Latency p50, p99", "%s, %s", round(s.P50), round(s.P99))
+	row("Sending lag p99", "%s", round(s.LagP99))
 	for _, d := range s.Detections {
 		if d.Found {
 			row("Detection of "+d.BackendServer.String(), "%s", round(d.After))
--- a/internal/standin/port/port.go
+++ b/internal/standin/port/port.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 )
@@ -13,18 +14,22 @@
 // Bounds of the ports. They lie below those that the kernel gives to
 // connections, which could otherwise take a port between choice and use.
 const (
-	First = 20_000
+	First = 22_000
 	Last  = 31_999
 )
 
+// spacing is the distance of the first ports of successive processes.
+const spacing = 997
+
 // ErrNoPort is returned when every port is in use.
 var ErrNoPort = errors.New("port: all are in use")
 
 // Allocator hands out loopback addresses. The zero value is ready for use by
 // several goroutines.
 type Allocator struct {
-	mu   sync.Mutex
-	next int // Offset from First of the port to try next.
+	mu    sync.Mutex
+	begun bool
+	next  int // Offset from First of the port to try next.
 }
 
 // Take returns count addresses with ports that follow one another. It does not
@@ -33,6 +38,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	const size = Last - First + 1
+	if !a.begun {
+		// Programs that run at the same time begin at different ports.
+		a.begun, a.next = true, os.Getpid()*spacing%size
+	}
 	var out []netip.AddrPort
 	for range size {
 		if a.next+count-len(out) > size {
--- a/internal/standin/port/port_test.go
+++ b/internal/standin/port/port_test.go
@@ -12,13 +12,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// A port in use is passed over.
-	l, err := net.Listen("tcp", netip.AddrPortFrom(first[1].Addr(), first[1].Port()+2).String())
+	// A port that is in use when its turn comes is passed over.
+	turn := a.next
+	used, err := a.Take(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", used[0].String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	seen := map[netip.AddrPort]bool{first[0]: true, first[1]: true, netip.MustParseAddrPort(l.Addr().String()): true}
+	a.next = turn
+	seen := map[netip.AddrPort]bool{first[0]: true, first[1]: true, used[0]: true}
 	for range 50 {
 		got, err := a.Take(3)
 		if err != nil {
