Keep the later of two histories when a store is reinstated

Cause: a store that was restored from a backup may move on, by roster changes or a publish, so that comparing sequence numbers alone would miss a lost revision and a reinstated head could revert a newer one. Change: a publish is refused if the store lost the known revision or holds another set under its number; Reinstate merges the later sequence number with the later revision, keeps existing audit records, and refuses two histories of one revision. The client tries first the endpoint that answered last. Ruled out: choosing between two histories by itself.

--- a/internal/config/publisher/decision.go
+++ b/internal/config/publisher/decision.go
@@ -49,8 +49,8 @@
 type (
 	readHead    struct{}
 	writeChunks struct{ base head.Head }
-	// commit writes the next head and the record if the head is still at
-	// the revision of the store.
+	// commit writes the head, and the record unless it is zero, if the head is
+	// still at the revision of the store.
 	commit struct {
 		at     int64
 		head   head.Head
@@ -111,7 +111,7 @@
 	if e.err != nil {
 		return d.fail(e.err)
 	}
-	if e.head.Sequence < d.request.Known.Sequence {
+	if reverts(d.request.Known, e.head) {
 		return d.fail(&RevertedError{Known: d.request.Known, Found: e.head})
 	}
 	moved := e.at != d.at
@@ -130,6 +130,13 @@
 	return d.commit()
 }
 
+// reverts says that the store lost what the fleet runs: it is at an older head,
+// at an older revision, or at another set of the same revision.
+func reverts(known, found head.Head) bool {
+	return found.Sequence < known.Sequence || found.Revision < known.Revision ||
+		found.Revision == known.Revision && found.Manifest != known.Manifest
+}
+
 func (d *decision) commit() effect {
 	if d.commits == maxCommits {
 		return d.fail(&ContentionError{Commits: d.commits})
@@ -186,10 +193,14 @@
 	return finish{err: &ConflictError{Base: d.request.Base, Current: d.head.Revision}}
 }
 
-// fail says truthfully whether the publish may have taken effect.
 func (d *decision) fail(err error) effect {
-	if d.unsure {
-		return finish{err: &UnknownError{PublishID: d.request.PublishID, Err: err}}
+	return finish{err: failure(d.unsure, d.request.PublishID, err)}
+}
+
+// failure says truthfully whether a failed publish may have taken effect.
+func failure(unsure bool, publishID string, err error) error {
+	if unsure {
+		return &UnknownError{PublishID: publishID, Err: err}
 	}
-	return finish{err: &NotPublishedError{Err: err}}
+	return &NotPublishedError{Err: err}
 }
--- a/internal/config/publisher/error.go
+++ b/internal/config/publisher/error.go
@@ -71,15 +71,18 @@
 	return fmt.Sprintf("publisher: %q has published a different set as revision %d", e.PublishID, e.Revision)
 }
 
-// RevertedError says that the store holds an older head than the fleet runs,
-// as after the restore of a backup. Nothing can be published until Reinstate.
+// RevertedError says that the store lost a head that the fleet runs, as after
+// the restore of a backup. Nothing can be published until Reinstate. Where
+// Reinstate fails with it, the store holds another history of that revision, and
+// an operator has to choose between the two.
 type RevertedError struct {
 	Known head.Head
 	Found head.Head
 }
 
 func (e *RevertedError) Error() string {
-	return fmt.Sprintf("publisher: store is at head %d, older than head %d", e.Found.Sequence, e.Known.Sequence)
+	return fmt.Sprintf("publisher: store is at head %d with revision %d, the fleet at head %d with revision %d",
+		e.Found.Sequence, e.Found.Revision, e.Known.Sequence, e.Known.Revision)
 }
 
 // ContentionError says that the head changed during every commit.
--- a/internal/config/publisher/publisher.go
+++ b/internal/config/publisher/publisher.go
@@ -137,12 +137,13 @@
 	if err != nil {
 		return err
 	}
+	puts := []store.Put{{Key: reader.HeadKey, Value: value}}
+	if c.record.To != 0 {
+		puts = append(puts, store.Put{Key: audit.Key(c.record.To), Value: c.record.Encode()})
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return p.Store.Commit(ctx, store.Compare{Key: reader.HeadKey, Revision: c.at}, []store.Put{
-		{Key: reader.HeadKey, Value: value},
-		{Key: audit.Key(c.record.To), Value: c.record.Encode()},
-	})
+	return p.Store.Commit(ctx, store.Compare{Key: reader.HeadKey, Revision: c.at}, puts)
 }
 
 func (p *Publisher) readRecord(ctx context.Context, revision uint64) recordRead {
--- a/internal/config/publisher/publisher_test.go
+++ b/internal/config/publisher/publisher_test.go
@@ -164,6 +164,75 @@
 	}
 }
 
+// The store's head moved on after the restore, by its roster or by another
+// publish of the same revision.
+func TestPublisher_Reinstate_moved(t *testing.T) {
+	p, s := fixture()
+	ctx := context.Background()
+	first, err := p.Publish(ctx, request(0, "one", "a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	backup := s.Revision()
+	second, err := p.Publish(ctx, request(1, "two", "b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Restore(backup); err != nil {
+		t.Fatal(err)
+	}
+	h, at, err := reader.Reader{Store: p.Store}.Head(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Sequence += 5
+	value, _ := reader.EncodeHead(h)
+	if err := p.Store.Commit(ctx, store.Compare{Key: reader.HeadKey, Revision: at}, []store.Put{{Key: reader.HeadKey, Value: value}}); err != nil {
+		t.Fatal(err)
+	}
+	moved := s.Revision()
+
+	r := publisher.Reinstatement{Known: second.Head, Set: named("b"), Operator: "amel", Time: time.Unix(2, 0).UTC()}
+	if err := p.Reinstate(ctx, r); err != nil {
+		t.Fatal(err)
+	}
+	got, _, err := reader.Reader{Store: p.Store}.Head(ctx)
+	if err != nil || got.Sequence != 7 || got.Revision != 2 || got.Manifest != second.Head.Manifest {
+		t.Errorf("got head %+v, %v, want head 7 with revision 2", got, err)
+	}
+
+	// A head of the same revision, or of an earlier one, with a later roster
+	// loses neither the later revision nor the trail.
+	r.Known.Sequence = 20
+	for range 2 {
+		err = errors.Join(err, p.Reinstate(ctx, r))
+	}
+	r.Known, r.Set = head.Head{Sequence: 30, Revision: 1, Manifest: first.Head.Manifest}, named("a")
+	err = errors.Join(err, p.Reinstate(ctx, r))
+	got, _, errHead := reader.Reader{Store: p.Store}.Head(ctx)
+	records, errAudit := p.Audit(ctx, 10)
+	if err := errors.Join(err, errHead, errAudit); err != nil || got.Sequence != 31 || got.Revision != 2 || len(records) != 2 || records[0].From != 1 {
+		t.Errorf("got head %+v and %+v, %v, want head 31 with revision 2", got, records, err)
+	}
+
+	if err := s.Restore(moved); err != nil {
+		t.Fatal(err)
+	}
+	r.Known, r.Set = second.Head, named("b")
+	if _, err := p.Publish(ctx, request(1, "other", "c")); err != nil {
+		t.Fatal(err)
+	}
+	var reverted *publisher.RevertedError
+	if err := p.Reinstate(ctx, r); !errors.As(err, &reverted) {
+		t.Errorf("got %v, want a RevertedError", err)
+	}
+	next := request(2, "three", "d")
+	next.Known = second.Head
+	if _, err := p.Publish(ctx, next); !errors.As(err, &reverted) {
+		t.Errorf("got %v, want a RevertedError", err)
+	}
+}
+
 // Collect keeps the chunks of the last revisions and deletes the others, and
 // the trail keeps its last records.
 func TestPublisher_Collect(t *testing.T) {
--- a/internal/config/publisher/reinstatement.go
+++ b/internal/config/publisher/reinstatement.go
@@ -22,54 +22,87 @@
 	Time     time.Time // Time for the audit trail.
 }
 
-// Reinstate writes the known head and its set if the store holds an older head,
-// and does nothing otherwise. Repeats are harmless. The audit records between
-// the two heads are lost, but for one record of the reinstatement. Its errors
-// are RequestError and those of Publish.
+// Reinstate writes the known set as the current one if the store is at an older
+// head or revision, and does nothing otherwise. Repeats are harmless. The audit
+// records in between are lost, but for one record of the reinstatement. Its
+// errors are RequestError, RevertedError and those of Publish.
 func (p *Publisher) Reinstate(ctx context.Context, r Reinstatement) error {
 	manifest, contents := chunk.Split(r.Set)
 	if _, address := manifest.Encode(); address.String() != r.Known.Manifest || r.Known.Revision == 0 {
 		return &RequestError{Field: "Set", Message: "is not the set of the known head"}
 	}
+	if p.Next == nil {
+		return &RequestError{Field: "Next", Message: "is missing"}
+	}
+	if r.Operator == "" || len(r.Operator) > maxNameSize {
+		return &RequestError{Field: "Operator", Message: "is empty or too long"}
+	}
+	var err error = &ContentionError{Commits: maxCommits}
 	unsure := false
-	var last error = &ContentionError{Commits: maxCommits}
 	for range maxCommits {
-		found, at, err := p.readHead(ctx)
-		if err != nil {
-			last = err
-			break
-		}
-		if found.Sequence >= r.Known.Sequence {
-			return nil
-		}
-		err = p.reinstate(ctx, r, found, at, manifest, contents)
 		var (
+			done      bool
 			conflict  *store.ConflictError
 			ambiguous *store.AmbiguousError
+			reverted  *RevertedError
 		)
+		done, err = p.reinstate(ctx, r, manifest, contents)
+		if done || errors.As(err, &reverted) {
+			return err
+		}
 		unsure = unsure || errors.As(err, &ambiguous)
-		switch {
-		case err == nil:
-			return nil
-		case !errors.As(err, &conflict) && !errors.As(err, &ambiguous):
-			return &NotPublishedError{Err: err}
+		if !errors.As(err, &ambiguous) && !errors.As(err, &conflict) {
+			break
 		}
 	}
-	if unsure {
-		return &UnknownError{PublishID: r.publishID(), Err: last}
-	}
-	return &NotPublishedError{Err: last}
+	return failure(unsure, r.publishID(), err)
 }
 
-// reinstate writes every chunk, since the restored store may lack any.
-func (p *Publisher) reinstate(ctx context.Context, r Reinstatement, found head.Head, at int64, m chunk.Manifest, contents map[chunk.Address][]byte) error {
+// reinstate reads the head and, if it reverts the known one, commits once.
+func (p *Publisher) reinstate(ctx context.Context, r Reinstatement, m chunk.Manifest, contents map[chunk.Address][]byte) (bool, error) {
+	found, at, err := p.readHead(ctx)
+	if err != nil {
+		return false, err
+	}
+	if found.Revision >= r.Known.Revision {
+		e := p.readRecord(ctx, r.Known.Revision)
+		if e.err != nil {
+			return false, e.err
+		}
+		if e.found && e.record.Manifest != r.Known.Manifest {
+			return false, &RevertedError{Known: r.Known, Found: found}
+		}
+	}
+	c := commit{at: at, head: p.merge(r.Known, found)}
+	if c.head.Sequence == found.Sequence {
+		return true, nil
+	}
+	if c.head.Revision > found.Revision {
+		c.record = audit.Record{
+			Time: r.Time, Operator: r.Operator, From: found.Revision, To: r.Known.Revision,
+			PublishID: r.publishID(), Manifest: r.Known.Manifest,
+		}
+	}
+	// The restored store may lack any chunk.
 	if err := p.put(ctx, puts(m, m, contents)); err != nil {
-		return err
+		return false, err
+	}
+	err = p.commit(ctx, c)
+	return err == nil, err
+}
+
+// merge returns a head that is at least as new as both, in its sequence number
+// and its revision. It is found itself if that is so already.
+func (p *Publisher) merge(known, found head.Head) head.Head {
+	switch {
+	case known.Sequence > found.Sequence && known.Revision >= found.Revision:
+		return known
+	case known.Sequence > found.Sequence:
+		return p.Next(known, found.Revision, found.Manifest)
+	case known.Revision > found.Revision:
+		return p.Next(found, known.Revision, known.Manifest)
 	}
-	return p.commit(ctx, commit{at: at, head: r.Known, record: audit.Record{
-		Time: r.Time, Operator: r.Operator, From: found.Revision, To: r.Known.Revision,
-		PublishID: r.publishID(), Manifest: r.Known.Manifest,
-	}})
+	return found
 }
 
 func (r Reinstatement) publishID() string { return fmt.Sprintf("reinstate-%d", r.Known.Sequence) }
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/platform/gateway"
@@ -61,6 +62,10 @@
 	once  sync.Once
 	read  http.RoundTripper
 	write http.RoundTripper
+
+	// last is the index of the endpoint that answered last. It is tried first,
+	// so that one endpoint that hangs does not delay every call.
+	last atomic.Uint32
 }
 
 // Get reads one key. The boolean says whether it exists. Its only errors are
@@ -164,10 +169,12 @@
 func (c *Client) query(ctx context.Context, q gateway.RangeRequest, answer *gateway.RangeResponse) error {
 	c.once.Do(c.prepare)
 	var last error = &UnavailableError{Err: errors.New("no endpoint is set")}
-	for i, e := range c.Endpoints {
+	for i := range c.Endpoints {
+		e, n := c.endpoint(i)
 		err := c.queryOne(ctx, e, len(c.Endpoints)-i, q, answer)
 		var rejected *RejectedError
 		if err == nil || errors.As(err, &rejected) {
+			c.last.Store(n)
 			return err
 		}
 		last = &UnavailableError{Endpoint: e, Err: err}
@@ -193,7 +200,8 @@
 func (c *Client) change(ctx context.Context, path string, q, answer any) error {
 	c.once.Do(c.prepare)
 	var last error = &UnavailableError{Err: errors.New("no endpoint is set")}
-	for _, e := range c.Endpoints {
+	for i := range c.Endpoints {
+		e, n := c.endpoint(i)
 		if err := ctx.Err(); err != nil {
 			return &UnavailableError{Endpoint: e, Err: err}
 		}
@@ -202,16 +210,25 @@
 		var connection *net.OpError
 		switch {
 		case err == nil || errors.As(err, &rejected):
+			c.last.Store(n)
 			return err
 		case errors.As(err, &connection) && connection.Op == "dial":
 			last = &UnavailableError{Endpoint: e, Err: err}
 		default:
+			// The next call, which asks for the outcome, tries another first.
+			c.last.Store(n + 1)
 			return &AmbiguousError{Endpoint: e, Err: err}
 		}
 	}
 	return last
 }
 
+// endpoint returns the one to try after i others, with its index.
+func (c *Client) endpoint(i int) (netip.AddrPort, uint32) {
+	n := (c.last.Load() + uint32(i)) % uint32(len(c.Endpoints))
+	return c.Endpoints[n], n
+}
+
 // prepare makes the transports. Transport sends a request again by itself when
 // a reused connection turns out to be closed, so that writes get no reused ones.
 func (c *Client) prepare() {
--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -153,6 +154,25 @@
 	}
 }
 
+// An endpoint that takes connections and never answers delays one call only.
+func TestClient_Get_hung(t *testing.T) {
+	hung := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	s := &standin.Store{}
+	c := &store.Client{Endpoints: []netip.AddrPort{hung, serve(t, s.Handler())}}
+	for i, most := range []time.Duration{900 * time.Millisecond, 450 * time.Millisecond} {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		start := time.Now()
+		_, _, err := c.Get(ctx, "a")
+		cancel()
+		if got := time.Since(start); err != nil || got > most {
+			t.Errorf("got %v and %v of call %d, want at most %v", got, err, i, most)
+		}
+	}
+}
+
 func TestClient_List(t *testing.T) {
 	s := &standin.Store{}
 	c := &store.Client{Endpoints: []netip.AddrPort{serve(t, s.Handler())}}
