--- a/internal/node/process/handler.go
+++ b/internal/node/process/handler.go
@@ -37,7 +37,7 @@
 	case question.Announce:
 		return nil, p.registrar.AnswerAnnounce(payload)
 	case question.Summary:
-		return nil, p.registrar.AnswerSummary(payload)
+		return p.registrar.AnswerSummary(payload)
 	}
 	return nil, &UnknownQuestionError{Kind: kind}
 }
--- a/internal/node/process/process.go
+++ b/internal/node/process/process.go
@@ -39,7 +39,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
-	resignTime        = time.Second // Time that peers have to hear of a resignation.
+	readyTimeout      = 3 * time.Second // Longest time before the callers' address is opened.
+	resignTime        = time.Second     // Time that peers have to hear of a resignation.
 	pollInterval      = 20 * time.Millisecond
 	idleInterval      = 10 * time.Second
 )
@@ -61,7 +62,6 @@
 	requests   atomic.Uint64
 	closing    atomic.Bool
 	servers    []*http.Server
-	listeners  []net.Listener
 	failed     chan error
 }
 
@@ -115,7 +115,7 @@
 	p.owner.Start(running, &p.timers)
 	p.registrar.Start(running, &p.timers)
 	p.timers.Subscribe(idleInterval, func(t timer.Tick) { p.mesh.CloseIdle(t.Now) })
-	err := p.listen()
+	err := p.listen(running)
 	if err == nil {
 		p.log.Info().Stringer("Member", p.self).Stringer("CallerAddress", p.settings.CallerAddress).Msg("node started")
 		select {
@@ -133,7 +133,10 @@
 	return err
 }
 
-func (p *Process) listen() error {
+// listen opens the callers' address last, once the node can serve, so that
+// callers go to other nodes meanwhile. A node that cannot serve for longer tells
+// them why.
+func (p *Process) listen(ctx context.Context) error {
 	handler := &entry.Entry{
 		Authority: p.membership, Limiter: p.limiter, Forwarder: p.forwarder, Recorder: p.metrics,
 		NewID: p.newID, Closing: p.closing.Load,
@@ -147,7 +150,6 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{p.settings.CallerAddress, handler},
 		{p.settings.BackendAddress, p.registrar.Handler()},
 		{p.settings.AdminAddress, admin.Handler()},
 	} {
@@ -159,9 +161,21 @@
 	if err != nil {
 		return fmt.Errorf("peer address: %w", err)
 	}
-	p.listeners = append(p.listeners, l)
 	go p.mesh.Listen(l)
-	return nil
+	p.awaitReady(ctx)
+	return p.serveHTTP(p.settings.CallerAddress, handler)
+}
+
+func (p *Process) awaitReady(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if p.membership.Current(time.Now()) == nil && p.membership.Snapshot() != nil {
+			p.registrar.Pull(ctx, time.Now())
+			return
+		}
+		sleep(ctx, pollInterval)
+	}
 }
 
 func (p *Process) serveHTTP(a netip.AddrPort, h http.Handler) error {
@@ -225,7 +239,7 @@
 	callers.Add(1)
 	go func() {
 		defer callers.Done()
-		_ = p.servers[0].Shutdown(ctx)
+		_ = p.servers[len(p.servers)-1].Shutdown(ctx)
 	}()
 	for p.owner.Active() > 0 && ctx.Err() == nil {
 		sleep(ctx, pollInterval)
--- a/internal/node/registrar/registrar.go
+++ b/internal/node/registrar/registrar.go
@@ -223,6 +223,30 @@
 	r.mu.Lock()
 	r.changed = time.Time{}
 	r.sent = now
+	r.mu.Unlock()
+	w := r.own(now)
+	if s, err := summary(w); err == nil {
+		r.Directory.Hear(now, s)
+	}
+	payload, err := proto.Marshal(w)
+	if err != nil {
+		return
+	}
+	live := r.Members.Live(now)
+	if !slices.Contains(live, r.Self) {
+		r.Pull(ctx, now)
+		return
+	}
+	for _, m := range live {
+		if m.Address != r.Self.Address {
+			go r.tell(ctx, m.Address, payload)
+		}
+	}
+}
+
+// own returns this node's summary.
+func (r *Registrar) own(now time.Time) *peerpb.Summary {
+	r.mu.Lock()
 	r.sequence++
 	w := &peerpb.Summary{
 		Owner: r.Self.Address.String(), DataCentre: r.Self.DataCentre, Incarnation: r.Self.Incarnation, Sequence: r.sequence,
@@ -233,18 +257,31 @@
 			Service: c.Service, Slots: uint32(c.Slots), Free: int32(c.Free), BackendServers: uint32(c.BackendServers),
 		})
 	}
-	if s, err := summary(w); err == nil {
-		r.Directory.Hear(now, s)
-	}
-	payload, err := proto.Marshal(w)
-	if err != nil {
-		return
-	}
+	return w
+}
+
+// Pull asks all members for their summaries and waits for the answers. Members
+// send theirs only to one another, so that a node outside the roster asks: one
+// that has just started, or that replaces another while the store is away.
+func (r *Registrar) Pull(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
 	for _, m := range r.Members.Live(now) {
-		if m.Address != r.Self.Address {
-			go r.tell(ctx, m.Address, payload)
+		if m.Address == r.Self.Address {
+			continue
 		}
+		asked.Go(func() {
+			payload, err := r.Mesh.Ask(ctx, m.Address, question.Summary, nil)
+			if err == nil {
+				err = r.hear(payload)
+			}
+			if err != nil {
+				r.Log.Debug().Err(err).Stringer("Peer", m.Address).Msg("summary not received")
+			}
+		})
 	}
+	asked.Wait()
 }
 
 // tell sends a summary. The next one makes up for one that is lost.
@@ -256,8 +293,16 @@
 	}
 }
 
-// AnswerSummary takes in another owner's summary.
-func (r *Registrar) AnswerSummary(payload []byte) error {
+// AnswerSummary takes in another owner's summary. A question without one asks
+// for this node's.
+func (r *Registrar) AnswerSummary(payload []byte) ([]byte, error) {
+	if len(payload) > 0 {
+		return nil, r.hear(payload)
+	}
+	return proto.Marshal(r.own(time.Now()))
+}
+
+func (r *Registrar) hear(payload []byte) error {
 	var w peerpb.Summary
 	if err := proto.Unmarshal(payload, &w); err != nil {
 		return err
