Ask more often until a head is known to be accepted

Cause: a publish waited for the regular rounds of questions, up to 400 ms for the store's reader and 250 ms for each round, before its acceptance was known. Ruled out: a shorter window, which would weaken the proof by attestations at hundreds of nodes. Change: the publishing node reads the head at once; nodes ask every 50 ms, for at most 2 s, while their head is not known to be accepted.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -46,6 +46,7 @@
 	InForce(now time.Time) uint64
 	Status(now time.Time) membership.Status
 	Assert(ended []member.Member)
+	Refresh(ctx context.Context)
 }
 
 // Owner lists the backend servers of the node.
@@ -191,6 +192,7 @@
 		refusePublish(w, err)
 		return
 	}
+	a.Members.Refresh(ctx)
 	reply(w, message.Published{
 		Revision: result.Record.To,
 		Sequence: result.Head.Sequence,
--- a/internal/node/membership/gossip.go
+++ b/internal/node/membership/gossip.go
@@ -21,6 +21,17 @@
 	}
 }
 
+// spread asks more often until the head is known to be accepted, since a publish
+// waits for that.
+func (m *Membership) spread(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	due := m.state.Accepted() < m.state.Head().Sequence && now.Sub(m.ranAt) < spreadTime
+	m.mu.Unlock()
+	if due {
+		m.gossip(ctx, now)
+	}
+}
+
 func (m *Membership) askDigest(ctx context.Context, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/internal/node/membership/load.go
+++ b/internal/node/membership/load.go
@@ -188,6 +188,7 @@
 	}
 	m.sequence.Store(h.Sequence)
 	m.chunks = chunks
+	m.ranAt = now
 	m.Log.Info().Uint64("Sequence", h.Sequence).Uint64("Revision", h.Revision).Uint64("Epoch", h.Epoch).
 		Int("Members", len(h.Roster)).Msg("running head")
 	if m.Changed != nil {
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -30,6 +30,8 @@
 // Intervals and bounds.
 const (
 	gossipInterval  = 250 * time.Millisecond
+	spreadInterval  = 50 * time.Millisecond // Between questions while the head is not known to be accepted.
+	spreadTime      = 2 * time.Second       // Time after which a head that is not accepted gets no more of them.
 	stewardInterval = 250 * time.Millisecond
 	readInterval    = 400 * time.Millisecond // Between reads of the head by a reader.
 	sparseInterval  = 5 * time.Second        // Between reads by other nodes.
@@ -81,6 +83,7 @@
 	readAt    time.Time // Time of the last read.
 	asserted  []member.Member
 	strangers map[netip.AddrPort]time.Time // Addresses outside the roster that asked.
+	ranAt     time.Time                    // Time at which the node began to run its head.
 	chunks    map[chunk.Address][]byte     // Manifest and chunks of the configuration that runs.
 	sources   []netip.AddrPort             // Peers that have the newest head.
 
@@ -101,6 +104,7 @@
 	m.load = make(chan struct{}, 1)
 	go m.loadAll(ctx)
 	timers.Subscribe(gossipInterval, func(t timer.Tick) { m.gossip(ctx, t.Now) })
+	timers.Subscribe(spreadInterval, func(t timer.Tick) { m.spread(ctx, t.Now) })
 	timers.Subscribe(readInterval, func(t timer.Tick) { m.read(ctx, t.Now) })
 	timers.Subscribe(stewardInterval, func(t timer.Tick) { m.manage(ctx, t.Now) })
 	timers.Subscribe(watchInterval, func(t timer.Tick) { m.watches.sweep(t.Now, m) })
--- a/internal/node/membership/store.go
+++ b/internal/node/membership/store.go
@@ -41,6 +41,14 @@
 	m.wakeLoader()
 }
 
+// Refresh reads the head at once, after this node has written one.
+func (m *Membership) Refresh(ctx context.Context) {
+	m.mu.Lock()
+	m.readAt = time.Time{}
+	m.mu.Unlock()
+	m.read(ctx, time.Now())
+}
+
 // readDue decides whether to read. A few nodes of each data centre read at every
 // interval and the others get their proofs from peers, so that the calls on the
 // store do not grow with the fleet.
@@ -78,10 +86,7 @@
 	err = m.Store.Commit(ctx, store.Compare{Key: reader.HeadKey, Revision: revision}, []store.Put{{Key: reader.HeadKey, Value: value}})
 	m.Log.Info().AnErr("Error", err).Uint64("Sequence", h.Sequence).Int("Members", len(h.Roster)).Msg("roster change proposed")
 	// Whatever the answer was, only a read tells what the store holds.
-	m.mu.Lock()
-	m.readAt = time.Time{}
-	m.mu.Unlock()
-	m.read(ctx, time.Now())
+	m.Refresh(ctx)
 }
 
 func (m *Membership) proposal(now time.Time) (head.Head, int64, bool) {
