Write over a store that went back, and test the rule by cases

Cause: a store restored to an older state gave proofs that no later head exists, and stewards compared every member with every other one. Ruled out: refusing such a store for good; the fleet writes its next head over it.

--- a/internal/fleet/currency/observation.go
+++ b/internal/fleet/currency/observation.go
@@ -13,19 +13,20 @@
 func (s *State) ObserveStore(asked time.Time, h head.Head) {
 	s.newest = max(s.newest, h.Sequence)
 	if asked.After(s.floor) {
-		s.prove(sighting{at: asked, most: h.Sequence})
+		s.behind = !s.prove(sighting{at: asked, most: h.Sequence})
 	}
 }
 
-// prove records a sighting of the store's head. The sighting proves nothing when
-// a later head was known before it: the store then went back to an older state,
-// and may hold other heads of the same numbers soon.
-func (s *State) prove(seen sighting) {
+// prove records a sighting of the store's head. It returns false, and the
+// sighting proves nothing, when a later head was known before it: the store then
+// went back to an older state, and may soon hold other heads of the same numbers.
+func (s *State) prove(seen sighting) bool {
 	if seen.most < s.known && seen.at.After(s.knownAt) {
-		return
+		return false
 	}
 	s.proof.observe(s.head.Sequence, seen)
 	s.stale = true
+	return true
 }
 
 // ObservePeer records a peer's answer, read at now, to a question sent at asked.
--- /dev/null
+++ b/internal/fleet/currency/rule_test.go
@@ -0,0 +1,178 @@
+package currency_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/fleet/currency"
+	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/fleet/succession"
+)
+
+// five returns the first two heads of a roster of five, and a node that is the
+// first member and runs the second head from start on.
+func five() (first, second head.Head, s *currency.State) {
+	var roster []member.Member
+	for i := range 5 {
+		roster = append(roster, identity(i, 1))
+	}
+	first = succession.Next(head.Head{}, true, succession.Change{Join: roster})
+	second = succession.Next(first, true, succession.Change{Revision: 1})
+	s = currency.New(roster[0], 0)
+	_ = s.Run(start, second)
+	return first, second, s
+}
+
+// peer returns a digest of member id that runs the given head and knows nothing.
+func peer(id int, h head.Head) currency.Digest {
+	d := currency.Digest{From: identity(id, 1), Sequence: h.Sequence, Epoch: h.Epoch, Newest: h.Sequence}
+	for range h.Roster {
+		d.Attestations = append(d.Attestations, currency.Attestation{Age: currency.NoAge})
+	}
+	return d
+}
+
+func TestState_Current_rule(t *testing.T) {
+	const ms = time.Millisecond
+	first, second, _ := five()
+	third := succession.Next(second, true, succession.Change{Revision: 2})
+	hear := func(ids ...int) func(*currency.State) {
+		return func(s *currency.State) {
+			for _, id := range ids {
+				s.ObservePeer(start.Add(ms), start.Add(ms), peer(id, second))
+			}
+		}
+	}
+	relay := func(s *currency.State) {
+		d := peer(1, second)
+		d.Attestations[2].Age = 100
+		s.ObservePeer(start.Add(ms), start.Add(ms), d)
+	}
+	read := func(h head.Head) func(*currency.State) {
+		return func(s *currency.State) { s.ObserveStore(start.Add(ms), h) }
+	}
+	late := func(s *currency.State) { s.ObserveStore(start.Add(-ms), first) }
+	drop := func(s *currency.State) { s.Drop(start.Add(ms)) }
+	newer := func(s *currency.State) { s.ObservePeer(start.Add(ms), start.Add(ms), peer(2, third)) }
+	tests := []struct {
+		desc   string
+		events []func(*currency.State)
+		by     currency.Basis
+		reason string
+		valid  time.Duration // From start.
+	}{
+		{"nothing heard", nil, currency.ByNone, currency.ReasonNoProof, 0},
+		{"store", []func(*currency.State){read(second)}, currency.ByStore, "", 2001 * ms},
+		{"store had an older head before this one ran", []func(*currency.State){late}, currency.ByStore, "", 1999 * ms},
+		{"store has a newer head", []func(*currency.State){read(third)}, currency.ByNone, currency.ReasonNewerHead, 0},
+		{"two of five with this node", []func(*currency.State){hear(1)}, currency.ByNone, currency.ReasonNoProof, 0},
+		{"one peer twice", []func(*currency.State){hear(1, 1)}, currency.ByNone, currency.ReasonNoProof, 0},
+		{"three of five with this node", []func(*currency.State){hear(1, 2)}, currency.ByAttestations, "", 2001 * ms},
+		// One second by a slow clock is 1.02/0.98 of a second by a fast one.
+		{"relayed attestation", []func(*currency.State){relay}, currency.ByAttestations, "", 2001*ms - 1_040_816_327*time.Nanosecond},
+		{"one of three runs a newer head", []func(*currency.State){hear(1, 2), newer}, currency.ByNone, currency.ReasonNewerHead, 0},
+		{"suspended after the answers", []func(*currency.State){hear(1, 2), read(second), drop}, currency.ByNone, currency.ReasonNoProof, 0},
+		{"answers under way while suspended", []func(*currency.State){drop, hear(1, 2), relay, read(second)}, currency.ByNone, currency.ReasonNoProof, 0},
+		{"resigned", []func(*currency.State){read(second), func(s *currency.State) { s.Resign(start) }}, currency.ByNone, currency.ReasonResigned, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			_, _, s := five()
+			for _, event := range tt.events {
+				event(s)
+			}
+			got := s.Current(start.Add(2 * ms))
+			if got.Current != (tt.by != currency.ByNone) || got.By != tt.by || got.Reason != tt.reason {
+				t.Fatalf("got %+v, want %v with reason %q", got, tt.by, tt.reason)
+			}
+			want := start.Add(tt.valid)
+			if early := want.Sub(got.Until); got.Current && (early < 0 || early > time.Microsecond) {
+				t.Fatalf("until: got %v, want %v", got.Until, want)
+			}
+			if got.Current && (!s.Current(got.Until).Current || s.Current(got.Until.Add(1)).Current) {
+				t.Errorf("verdict does not end at %v", got.Until)
+			}
+		})
+	}
+}
+
+func TestState_InForce(t *testing.T) {
+	_, second, s := five()
+	heard := start.Add(time.Minute)
+	s.ObservePeer(start, start, peer(1, second))
+	if got := s.Accepted(); got != 0 {
+		t.Fatalf("accepted by two of five: got head %d, want none", got)
+	}
+	s.ObservePeer(start, heard, peer(2, second)) // The answer itself lay for a minute.
+	if got, want := s.Accepted(), second.Sequence; got != want {
+		t.Fatalf("accepted by three of five: got head %d, want %d", got, want)
+	}
+	// Two seconds by the slowest clock, measured by the fastest, and the longest suspension that nobody notices.
+	const delay = 2*time.Second*102/98 + 100*time.Millisecond
+	if got := s.InForce(heard.Add(delay)); got != 0 {
+		t.Errorf("got head %d in force at once, want none", got)
+	}
+	if got, want := s.InForce(heard.Add(delay+time.Microsecond)), second.Sequence; got != want {
+		t.Errorf("got head %d in force, want %d", got, want)
+	}
+}
+
+func TestState_Run(t *testing.T) {
+	first, second, s := five()
+	other := second
+	other.Manifest = "other"
+	for _, h := range []head.Head{first, other} {
+		var got *currency.SequenceError
+		if err := s.Run(start, h); !errors.As(err, &got) || got.Running != 2 || got.Offered != h.Sequence {
+			t.Errorf("got %v, want a refusal of head %d", err, h.Sequence)
+		}
+	}
+	if err := s.Run(start, second); err != nil || s.Head().Manifest != second.Manifest {
+		t.Errorf("got %v for the head that runs, want nothing to happen", err)
+	}
+}
+
+// TestState_ObserveStore_older checks that a store which went back proves nothing,
+// while a late answer of an intact store does.
+func TestState_ObserveStore_older(t *testing.T) {
+	first, _, s := five()
+	s.ObserveStore(start.Add(time.Second), first)
+	if v := s.Current(start.Add(time.Second)); v.Current || !s.StoreBehind() {
+		t.Errorf("got %+v and behind %t, want a store that went back", v, s.StoreBehind())
+	}
+	s.ObserveStore(start.Add(-time.Second), first)
+	if v := s.Current(start.Add(time.Second)); v.By != currency.ByStore || s.StoreBehind() {
+		t.Errorf("got %+v and behind %t, want a late answer to count", v, s.StoreBehind())
+	}
+}
+
+// TestState_Digest checks what a node tells of peers, newcomers and resignations.
+func TestState_Digest(t *testing.T) {
+	_, second, s := five()
+	now := start.Add(15 * time.Millisecond)
+	s.ObservePeer(start, now, peer(1, second))
+	s.ObservePeer(start, now, peer(7, second))
+	leaving := peer(2, second)
+	leaving.Resigned = []member.Member{leaving.From}
+	s.ObservePeer(start, now, leaving)
+	got := s.Digest(now)
+	if want := (currency.Attestation{Age: 2, Reached: true}); got.Attestations[1] != want {
+		t.Errorf("got %+v of a peer, want %+v", got.Attestations[1], want)
+	}
+	if got.Attestations[2].Age != currency.NoAge || !slices.Equal(got.Resigned, []member.Member{leaving.From}) {
+		t.Errorf("got %+v, want a resignation instead of an attestation", got)
+	}
+	if want := []currency.Newcomer{{Member: identity(7, 1), Age: 2}}; !slices.Equal(got.Joining, want) {
+		t.Errorf("got newcomers %v, want %v", got.Joining, want)
+	}
+	later := start.Add(3*time.Second + 1)
+	if got, want := s.Silent(later, 3*time.Second), second.Roster[1:]; !slices.Equal(got, want) {
+		t.Errorf("got silent members %v, want %v", got, want)
+	}
+	if got := s.Joining(later); len(got) != 0 {
+		t.Errorf("got newcomers %v after a silence, want none", got)
+	}
+}
--- a/internal/fleet/currency/state.go
+++ b/internal/fleet/currency/state.go
@@ -66,6 +66,8 @@
 	knownAt time.Time // Time at which known was learned.
 	floor   time.Time // Questions sent by then give no authority.
 
+	behind bool // Whether the last answer of the store showed that it went back.
+
 	proof    evidence                    // Head of the store.
 	votes    []vote                      // One for each member of the roster, in its order.
 	outside  map[member.Member]vote      // Members that are not in the roster.
@@ -105,6 +107,11 @@
 // a head which this node does not run yet.
 func (s *State) Accepted() uint64 { return s.accepted.known() }
 
+// StoreBehind reports whether the store's last answer showed an older head than
+// one that was known before the question: the store went back to an older state.
+// A steward then writes the next head over it.
+func (s *State) StoreBehind() bool { return s.behind }
+
 // InForce returns the highest sequence for which no node anywhere is current on
 // an older head any more.
 func (s *State) InForce(now time.Time) uint64 {
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -3,6 +3,7 @@
 package steward
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 	Joining  []member.Member // Members outside the roster that were heard of lately, this one included.
 	Resigned []member.Member // Members known to have resigned.
 	Ended    []member.Member // Members that an operator asserts to have ended.
+	Behind   bool            // Whether the store went back to a head before Head.
 	Rank     int             // Place of this node among the stewards, from zero; negative means none.
 }
 
@@ -64,7 +66,7 @@
 // Decide returns what to do now. It is called at least every few hundred
 // milliseconds, since a change counts as wanted only from the first call.
 func (s *Steward) Decide(now time.Time, in Input) Effect {
-	change, wanted := edit(in)
+	next, wanted := successor(in)
 	if !wanted || in.Rank < 0 {
 		s.since = time.Time{}
 		return Wait{}
@@ -79,33 +81,69 @@
 	}
 	// The change is wanted anew after a proposal that fails without trace.
 	s.since = time.Time{}
-	return Propose{Head: succession.Next(in.Head, in.Accepted, change)}
+	return Propose{Head: next}
 }
 
-// edit returns the change that the input asks for and whether there is any.
-func edit(in Input) (succession.Change, bool) {
-	ended := endedMembers(in)
-	change := succession.Change{Ended: ended}
+// successor returns the head that the input asks for and whether it asks for any.
+func successor(in Input) (head.Head, bool) {
+	k := index(in)
+	change := succession.Change{Ended: k.endedMembers(in.Head)}
 	if len(in.Head.Pending) <= MaxPending {
-		change.Join = joiningMembers(in, ended)
-		change.Leave = silentMembers(in, ended)
+		change.Join = k.joiningMembers(in)
+		change.Leave = k.silentMembers(in)
 	}
 	next := succession.Next(in.Head, in.Accepted, change)
 	if len(next.Roster) == 0 {
-		return succession.Change{}, false
+		return head.Head{}, false
 	}
-	return change, next.Epoch != in.Head.Epoch || !in.Accepted && len(ended) > 0
+	ends := !in.Accepted && len(change.Ended) > 0
+	return next, ends || in.Behind || next.Epoch != in.Head.Epoch
+}
+
+// knowledge is the input arranged for look-ups, since a roster may have hundreds
+// of members that restart at once.
+type knowledge struct {
+	stopped map[member.Member]bool    // Members that have resigned or are asserted to have ended.
+	listed  map[member.Member]bool    // Members of the roster.
+	ended   map[member.Member]bool    // Members recorded as ended.
+	silent  map[member.Member]bool    // Silent members of the roster.
+	newest  map[netip.AddrPort]uint64 // Highest incarnation known at each address.
+}
+
+func index(in Input) knowledge {
+	k := knowledge{
+		stopped: set(in.Resigned, in.Ended),
+		listed:  set(in.Head.Roster),
+		ended:   set(in.Head.Ended),
+		silent:  set(in.Silent),
+		newest:  make(map[netip.AddrPort]uint64),
+	}
+	for _, m := range slices.Concat(in.Head.Roster, in.Joining) {
+		k.newest[m.Address] = max(k.newest[m.Address], m.Incarnation)
+	}
+	return k
+}
+
+func set(lists ...[]member.Member) map[member.Member]bool {
+	out := make(map[member.Member]bool)
+	for _, m := range slices.Concat(lists...) {
+		out[m] = true
+	}
+	return out
+}
+
+// hasEnded reports whether m has stopped or was replaced at its address.
+func (k knowledge) hasEnded(m member.Member) bool {
+	return k.stopped[m] || k.newest[m.Address] > m.Incarnation
 }
 
 // endedMembers returns the members of the roster and of pending rosters that are
-// known to have ended, and are not yet recorded as such.
-func endedMembers(in Input) []member.Member {
+// known to have ended, and are not recorded as such.
+func (k knowledge) endedMembers(h head.Head) []member.Member {
 	var out []member.Member
-	for _, m := range slices.Concat(append(slices.Clone(in.Head.Pending), in.Head.Roster)...) {
-		if slices.Contains(in.Head.Ended, m) && !slices.Contains(in.Head.Roster, m) {
-			continue
-		}
-		if slices.Contains(in.Resigned, m) || slices.Contains(in.Ended, m) || succeeded(m, in.Joining) {
+	for _, m := range slices.Concat(append(slices.Clone(h.Pending), h.Roster)...) {
+		recorded := k.ended[m] && !k.listed[m]
+		if !recorded && k.hasEnded(m) {
 			out = append(out, m)
 		}
 	}
@@ -113,19 +151,11 @@
 	return slices.Compact(out)
 }
 
-func succeeded(m member.Member, joining []member.Member) bool {
-	return slices.ContainsFunc(joining, func(j member.Member) bool {
-		return j.Address == m.Address && j.Incarnation > m.Incarnation
-	})
-}
-
-func joiningMembers(in Input, ended []member.Member) []member.Member {
+func (k knowledge) joiningMembers(in Input) []member.Member {
 	var out []member.Member
-	for _, j := range in.Joining {
-		stopped := slices.Contains(ended, j) || slices.Contains(in.Resigned, j) || slices.Contains(in.Ended, j)
-		older := succeeded(j, in.Head.Roster) || succeeded(j, in.Joining)
-		if !stopped && !older && !slices.Contains(in.Head.Roster, j) {
-			out = append(out, j)
+	for _, m := range in.Joining {
+		if !k.listed[m] && !k.hasEnded(m) {
+			out = append(out, m)
 		}
 	}
 	return out
@@ -134,15 +164,15 @@
 // silentMembers returns the silent members to remove. It returns none unless a
 // strict majority of the members that have not ended attests: a steward that
 // hears only a minority would otherwise remove the majority.
-func silentMembers(in Input, ended []member.Member) []member.Member {
+func (k knowledge) silentMembers(in Input) []member.Member {
 	var out []member.Member
 	live := 0
 	for _, m := range in.Head.Roster {
-		if slices.Contains(ended, m) {
+		if k.hasEnded(m) {
 			continue
 		}
 		live++
-		if slices.Contains(in.Silent, m) {
+		if k.silent[m] {
 			out = append(out, m)
 		}
 	}
