--- a/internal/config/audit/record.go
+++ b/internal/config/audit/record.go
@@ -21,7 +21,11 @@
 	// MaxChanges is the number of changes that a record lists; it counts the rest.
 	MaxChanges = 200
 
-	digits = 20 // Of the highest uint64, so that keys sort as revisions do.
+	// BlockSize is the number of revisions that share a Block.
+	BlockSize = 100
+
+	digits      = 20 // Of the highest uint64, so that keys sort as revisions do.
+	blockDigits = 2  // Of BlockSize-1.
 )
 
 // Record says who published a revision, when, and what it changed. It holds
@@ -47,6 +51,13 @@
 // Key returns the store's key of the record of a revision.
 func Key(revision uint64) string { return fmt.Sprintf("%s%0*d", Prefix, digits, revision) }
 
+// Block returns the prefix of the keys of a revision and its neighbours, which
+// bounds what is read at once.
+func Block(revision uint64) string {
+	key := Key(revision)
+	return key[:len(key)-blockDigits]
+}
+
 // Revision returns the revision of a record's key.
 func Revision(key string) (uint64, error) {
 	text, found := strings.CutPrefix(key, Prefix)
--- a/internal/config/publisher/keeping.go
+++ b/internal/config/publisher/keeping.go
@@ -21,17 +21,32 @@
 
 // Audit returns at most limit records, the newest first.
 func (p *Publisher) Audit(ctx context.Context, limit int) ([]audit.Record, error) {
-	items, err := p.Store.List(ctx, audit.Prefix, min(limit, audit.Kept), true)
+	newest, err := p.Store.List(ctx, audit.Prefix, 1, true)
+	if err != nil || len(newest) == 0 || limit <= 0 {
+		return nil, err
+	}
+	revision, err := audit.Revision(newest[0].Key)
 	if err != nil {
 		return nil, err
 	}
-	records := make([]audit.Record, 0, len(items))
-	for _, i := range items {
-		r, err := audit.Decode(i.Key, i.Value)
+	limit = min(limit, audit.Kept)
+	var records []audit.Record
+	for blocks := 0; len(records) < limit && blocks <= audit.Kept/audit.BlockSize; blocks++ {
+		items, err := p.Store.List(ctx, audit.Block(revision), min(limit-len(records), audit.BlockSize), true)
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, r)
+		for _, i := range items {
+			r, err := audit.Decode(i.Key, i.Value)
+			if err != nil {
+				return nil, err
+			}
+			records = append(records, r)
+		}
+		if revision < audit.BlockSize {
+			break
+		}
+		revision -= audit.BlockSize
 	}
 	return records, nil
 }
--- a/internal/config/publisher/publisher_test.go
+++ b/internal/config/publisher/publisher_test.go
@@ -283,6 +283,12 @@
 	if _, err := p.Publish(ctx, request(audit.Kept, "one", "a")); err != nil {
 		t.Fatal(err)
 	}
+	for _, limit := range []int{1, 2, 3, 9} {
+		records, err := p.Audit(ctx, limit)
+		if err != nil || len(records) != min(limit, 3) || records[0].To != audit.Kept+1 {
+			t.Errorf("got %v, %v, want %d records", records, err, min(limit, 3))
+		}
+	}
 	items, err := p.Store.Keys(ctx, audit.Prefix, "", 10)
 	if err != nil || len(items) != 3 || items[0].Key != audit.Key(2) {
 		t.Errorf("got %v, %v, want the records of 2, 3 and %d", items, err, audit.Kept+1)
--- a/internal/config/publisher/race_test.go
+++ b/internal/config/publisher/race_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"iter"
+	"maps"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -33,7 +35,8 @@
 	sent    map[string]publisher.Request
 	won     map[string]audit.Record
 	unknown map[string]bool // Publish identifiers with an outcome that was not known.
-	denied  map[string]bool // Publish identifiers that surely had no effect.
+	denied  map[string]bool // Publish identifiers that met a conflict, for ever without effect.
+	refused map[string]bool // Publish identifiers whose requests all had no effect.
 }
 
 // faulty is one actor's view of the store.
@@ -146,14 +149,34 @@
 	case errors.As(err, &unknown):
 		w.unknown[id] = true
 	case errors.As(err, &not):
-		w.denied[id] = w.denied[id] || !w.unknown[id] && w.won[id].To == 0
-		return w.denied[id]
+		w.refused[id] = !w.unknown[id] && w.won[id].To == 0
+		return w.refused[id]
 	default:
 		w.t.Fatalf("got error %v of %s", err, id)
 	}
 	return false
 }
 
+// repeater sends requests of the operators again, through another process and
+// at any time.
+func (w *world) repeater(p *publisher.Publisher) {
+	for range 4 {
+		ids := slices.Sorted(maps.Keys(w.sent))
+		if len(ids) == 0 {
+			_, _, _ = (reader.Reader{Store: p.Store}).Head(context.Background())
+			continue
+		}
+		id := rapid.SampledFrom(ids).Draw(w.t, "repeated")
+		w.unknown[id] = true // Its operator does not know of the repeat.
+		delete(w.refused, id)
+		got, err := p.Publish(context.Background(), w.sent[id])
+		var conflict *publisher.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			w.note(id, got, err)
+		}
+	}
+}
+
 // roster changes the head without its revision, as other packages do.
 func (w *world) roster(s publisher.Store) {
 	for range 4 {
@@ -172,6 +195,7 @@
 	actors := []func(*publisher.Publisher){
 		func(p *publisher.Publisher) { w.operator("amel", p) },
 		func(p *publisher.Publisher) { w.operator("brahim", p) },
+		w.repeater,
 		func(p *publisher.Publisher) { w.roster(p.Store) },
 		func(p *publisher.Publisher) {
 			for range 4 {
@@ -236,7 +260,7 @@
 	for i := len(records) - 1; i >= 0; i-- {
 		r := records[i]
 		sent := w.sent[r.PublishID]
-		if _, twice := published[r.PublishID]; twice || w.denied[r.PublishID] {
+		if _, twice := published[r.PublishID]; twice || w.denied[r.PublishID] || w.refused[r.PublishID] {
 			w.t.Fatalf("got revision %d of %s, which was published before or said to be refused", r.To, r.PublishID)
 		}
 		published[r.PublishID] = r
@@ -261,7 +285,7 @@
 		p, _ := fixture()
 		w := &world{
 			t: t, direct: p, sent: map[string]publisher.Request{}, won: map[string]audit.Record{},
-			unknown: map[string]bool{}, denied: map[string]bool{},
+			unknown: map[string]bool{}, denied: map[string]bool{}, refused: map[string]bool{},
 		}
 		w.run()
 		w.check()
--- a/internal/platform/reader/reader.go
+++ b/internal/platform/reader/reader.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 
 	"filbertturn.example/filbertturn/internal/config/chunk"
 	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/fleet/codec"
 	"filbertturn.example/filbertturn/internal/fleet/head"
 	"filbertturn.example/filbertturn/internal/platform/store"
 )
@@ -85,8 +85,8 @@
 
 // DecodeHead reads the value of the head's key. Its error is a HeadError.
 func DecodeHead(value []byte) (head.Head, error) {
-	var h head.Head
-	if err := json.Unmarshal(value, &h); err != nil {
+	h, err := codec.UnmarshalHead(value)
+	if err != nil {
 		return head.Head{}, &HeadError{Err: err}
 	}
 	if h.Sequence == 0 {
@@ -97,7 +97,7 @@
 
 // EncodeHead returns the value of the head's key.
 func EncodeHead(h head.Head) ([]byte, error) {
-	value, err := json.Marshal(h)
+	value, err := codec.MarshalHead(h)
 	if err != nil {
 		return nil, &HeadError{Err: err}
 	}
