Reinstate a restored store, and say why a request was given up

Cause: an operator had no way out after the store was restored to an older state. A caller whose key was withdrawn while its request ran was sometimes told that it had closed its connection itself: the entry closed the stream, and took the owner's word for the reason. Ruled out: a wrong order of the two watches; the failure came on the stream after the entry's own context had ended.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -78,6 +78,7 @@
 	mux.HandleFunc("GET "+message.ConfigPath, a.operator(a.getConfig))
 	mux.HandleFunc("POST "+message.CheckPath, a.operator(a.checkConfig))
 	mux.HandleFunc("POST "+message.ConfigPath, a.operator(a.publish))
+	mux.HandleFunc("POST "+message.ReinstatePath, a.operator(a.reinstate))
 	mux.HandleFunc("GET "+message.AuditPath, a.operator(a.audit))
 	mux.HandleFunc("POST "+message.EndedPath, a.operator(a.ended))
 	return mux
@@ -179,11 +180,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), publishTimeout)
 	defer cancel()
 	h, _ := a.Members.View()
-	accepted := a.Members.Accepted()
-	pub := publisher.Publisher{Store: a.Store, Next: func(base head.Head, revision uint64, manifest string) head.Head {
-		return succession.Next(base, accepted >= base.Sequence, succession.Change{Revision: revision, Manifest: manifest})
-	}}
-	result, err := pub.Publish(ctx, publisher.Request{
+	result, err := a.publisher().Publish(ctx, publisher.Request{
 		Set: s, Base: p.Base, PublishID: p.PublishID, Operator: operator, Time: time.Now().UTC(), Known: h,
 	})
 	a.Log.Info().AnErr("Error", err).Str("Operator", operator).Uint64("Base", p.Base).Uint64("Revision", result.Record.To).
@@ -201,6 +198,35 @@
 	})
 }
 
+// reinstate writes the configuration that the fleet runs to a store that was
+// restored to an older state.
+func (a *API) reinstate(w http.ResponseWriter, r *http.Request, operator string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), publishTimeout)
+	defer cancel()
+	h, config := a.Members.View()
+	if config == nil {
+		refuse(w, http.StatusServiceUnavailable, &message.Error{Code: message.Unpublished, Message: "the node has no configuration"})
+		return
+	}
+	pub := a.publisher()
+	err := pub.Reinstate(ctx, publisher.Reinstatement{Known: h, Set: config.Set(), Operator: operator, Time: time.Now().UTC()})
+	a.Log.Warn().AnErr("Error", err).Str("Operator", operator).Uint64("Revision", h.Revision).Msg("reinstate")
+	if err != nil {
+		refusePublish(w, err)
+		return
+	}
+	a.Members.Refresh(ctx)
+	reply(w, struct{}{})
+}
+
+// publisher returns a publisher that makes heads for the present roster.
+func (a *API) publisher() *publisher.Publisher {
+	accepted := a.Members.Accepted()
+	return &publisher.Publisher{Store: a.Store, Next: func(base head.Head, revision uint64, manifest string) head.Head {
+		return succession.Next(base, accepted >= base.Sequence, succession.Change{Revision: revision, Manifest: manifest})
+	}}
+}
+
 // waitForce waits until no node is current on an older head.
 func (a *API) waitForce(ctx context.Context, sequence uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, forceTimeout)
--- a/internal/admin/client/client.go
+++ b/internal/admin/client/client.go
@@ -64,6 +64,12 @@
 	return r, err
 }
 
+// Reinstate writes the configuration that the node runs to a store that was
+// restored to an older state.
+func (c *Client) Reinstate(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, message.ReinstatePath, struct{}{}, nil)
+}
+
 // Audit returns the last records of the audit trail, the newest first.
 func (c *Client) Audit(ctx context.Context, limit int) ([]audit.Record, error) {
 	var r []audit.Record
--- a/internal/admin/command/config.go
+++ b/internal/admin/command/config.go
@@ -21,7 +21,7 @@
 
 func newConfig() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Check, publish and compare configuration sets"}
-	c.AddCommand(newCheck(), newPublish(), newGet(), newDiff())
+	c.AddCommand(newCheck(), newPublish(), newGet(), newDiff(), newReinstate())
 	return c
 }
 
@@ -274,3 +274,23 @@
 	}
 	return nil
 }
+
+func newReinstate() *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use:   "reinstate",
+		Short: "Write the set that a node runs to a store that was restored to an older state",
+		Args:  usage(cobra.NoArgs),
+		RunE: func(_ *cobra.Command, _ []string) error {
+			node, err := t.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := callContext()
+			defer cancel()
+			return node.Reinstate(ctx)
+		},
+	}
+	t.register(c)
+	return c
+}
--- a/internal/admin/message/message.go
+++ b/internal/admin/message/message.go
@@ -15,12 +15,13 @@
 
 // Paths of the API.
 const (
-	StatusPath  = "/status"
-	MetricsPath = "/metrics"
-	ConfigPath  = "/config"
-	CheckPath   = "/config/check"
-	AuditPath   = "/audit"
-	EndedPath   = "/members/ended"
+	StatusPath    = "/status"
+	MetricsPath   = "/metrics"
+	ConfigPath    = "/config"
+	CheckPath     = "/config/check"
+	ReinstatePath = "/config/reinstate"
+	AuditPath     = "/audit"
+	EndedPath     = "/members/ended"
 )
 
 // Config is the configuration that a node runs.
--- /dev/null
+++ b/internal/check/fleet/store_test.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/admin/message"
+	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/standin/cluster"
+)
+
+// TestStore_away takes the store away, replaces a node meanwhile, and expects
+// everything but publishing to go on.
+func TestStore_away(t *testing.T) {
+	f := start(t)
+	ctx := context.Background()
+	if err := cluster.SetStoreOutage(ctx, f.Store(), true); err != nil {
+		t.Fatal(err)
+	}
+	stop := f.load(50, http.MethodGet, any3)
+	time.Sleep(6 * time.Second)
+	for _, r := range stop() {
+		if r.status != http.StatusOK {
+			t.Errorf("got %+v while the store is away", r)
+		}
+	}
+	if _, err := f.publish(0, func(s *set.Set) { s.Keys = nil }); err == nil {
+		t.Error("got a publish while the store is away")
+	}
+	f.Node(2).Kill()
+	if err := f.Restart(2); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitCurrent(2)
+	if r := f.send(2, http.MethodGet); r.status != http.StatusOK {
+		t.Errorf("got %+v at the replaced node while the store is away", r)
+	}
+	if err := cluster.SetStoreOutage(ctx, f.Store(), false); err != nil {
+		t.Fatal(err)
+	}
+	for started := time.Now(); ; time.Sleep(100 * time.Millisecond) {
+		done, err := f.publish(0, func(s *set.Set) { s.Keys = nil })
+		if err == nil && done.InForce {
+			break
+		}
+		if time.Since(started) > 15*time.Second {
+			t.Fatalf("got %+v, %v after the store returned", done, err)
+		}
+	}
+	if r := f.send(2, http.MethodGet); r.status != http.StatusUnauthorized {
+		t.Errorf("got %+v with a withdrawn key", r)
+	}
+}
+
+// TestStore_restored restores the store to the state before a withdrawal. No
+// node goes back, and an operator puts the store right.
+func TestStore_restored(t *testing.T) {
+	f := start(t)
+	earlier := f.control(`{}`)
+	if done, err := f.publish(0, func(s *set.Set) { s.Keys = nil }); err != nil || !done.InForce {
+		t.Fatalf("got %+v, %v", done, err)
+	}
+	f.control(fmt.Sprintf(`{"Restore":%d}`, earlier))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i := range nodes {
+			if r := f.send(i, http.MethodGet); r.status == http.StatusOK {
+				t.Fatalf("got %+v after the store was restored", r)
+			}
+		}
+	}
+	if done, err := f.publish(1, func(s *set.Set) { s.Limits[0].Rate++ }); err == nil {
+		t.Errorf("got %+v published on a store that is older than the fleet", done)
+	}
+	if err := f.admin(1).Reinstate(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	done, err := f.publish(1, func(s *set.Set) { s.Limits[0].Rate++ })
+	if err != nil || !done.InForce || done.Revision != 3 {
+		t.Errorf("got %+v, %v after the store was put right, want revision 3 in force", done, err)
+	}
+}
+
+// TestConfig_raced lets two operators publish on the same revision.
+func TestConfig_raced(t *testing.T) {
+	f := start(t)
+	errs := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			_, err := f.publish(i, func(s *set.Set) { s.Limits[0].Rate += float64(i + 1) })
+			errs <- err
+		}()
+	}
+	first, second := <-errs, <-errs
+	if first != nil {
+		first, second = second, first
+	}
+	var refused *message.Error
+	if first != nil || !errors.As(second, &refused) || refused.Code != message.Conflict || len(refused.Changes) != 1 {
+		t.Errorf("got %v and %v, want one publish and one conflict that tells the change", first, second)
+	}
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -26,7 +26,8 @@
 
 const (
 	bearer     = "bearer "
-	bufferSize = 32 << 10 // Bytes of the buffer that copies an answer.
+	slack      = time.Second // Time after a request's deadline for the last bytes to the caller.
+	bufferSize = 32 << 10    // Bytes of the buffer that copies an answer.
 )
 
 // Authority tells what the node may rely on.
@@ -75,6 +76,8 @@
 // pass is a request between filters.
 type pass struct {
 	request  *http.Request
+	writer   http.ResponseWriter
+	started  time.Time
 	call     *call.Call
 	snapshot *snapshot.Snapshot
 }
@@ -85,11 +88,12 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	limitTime(w, started.Add(set.DefaultTimeout+slack))
 	if e.Closing() {
 		w.Header().Set("Connection", "close")
 	}
 	c := newCall(r, e.NewID())
-	p := &pass{request: r, call: c}
+	p := &pass{request: r, writer: w, started: started, call: c}
 	answer, cancel, err := e.handle(r.Context(), p)
 	defer cancel(nil)
 	if err != nil {
@@ -109,6 +113,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// limitTime bounds the reads from and the writes to a caller that stalls. A
+// writer that has no deadlines is one of a test.
+func limitTime(w http.ResponseWriter, at time.Time) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(at)
+	_ = control.SetWriteDeadline(at)
+}
+
 func newCall(r *http.Request, id string) *call.Call {
 	return &call.Call{
 		Method:        r.Method,
@@ -184,15 +196,14 @@
 	if p.call.Timeout <= 0 {
 		p.call.Timeout = set.DefaultTimeout
 	}
-	text := p.request.Header.Get(header.RequestTimeout)
-	if text == "" {
-		return nil
-	}
-	asked, err := time.ParseDuration(text)
-	if err != nil || asked <= 0 {
-		return failure.New(kind.MalformedRequest, header.RequestTimeout+" is not a positive duration such as 2s", nil)
+	if text := p.request.Header.Get(header.RequestTimeout); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 {
+			return failure.New(kind.MalformedRequest, header.RequestTimeout+" is not a positive duration such as 2s", nil)
+		}
+		p.call.Timeout = min(p.call.Timeout, asked)
 	}
-	p.call.Timeout = min(p.call.Timeout, asked)
+	limitTime(p.writer, p.started.Add(p.call.Timeout+slack))
 	return nil
 }
 
--- a/internal/node/membership/load.go
+++ b/internal/node/membership/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/config/chunk"
+	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/fleet/codec"
 	"filbertturn.example/filbertturn/internal/fleet/head"
@@ -130,13 +131,40 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s, err := chunk.Join(manifest, get)
+	for _, a := range manifest.Addresses() {
+		if _, err := get(a); err != nil {
+			return nil, nil, err
+		}
+	}
+	s, err := m.join(manifest, chunks)
 	if err != nil {
 		return nil, nil, err
 	}
 	return chunks, snapshot.Compile(s, h.Revision), nil
 }
 
+// join decodes only the chunks that the node does not run already.
+func (m *Membership) join(to chunk.Manifest, chunks map[chunk.Address][]byte) (set.Set, error) {
+	get := func(a chunk.Address) ([]byte, error) { return chunks[a], nil }
+	m.mu.Lock()
+	from, known := m.manifest()
+	m.mu.Unlock()
+	if old := m.Snapshot(); known && old != nil {
+		return chunk.Update(old.Set(), from, to, get)
+	}
+	return chunk.Join(to, get)
+}
+
+// manifest returns the manifest of the configuration that the node runs.
+func (m *Membership) manifest() (chunk.Manifest, bool) {
+	address, err := chunk.ParseAddress(m.state.Head().Manifest)
+	if err != nil {
+		return chunk.Manifest{}, false
+	}
+	manifest, err := chunk.Decode(m.chunks[address], address)
+	return manifest, err == nil
+}
+
 // fetchChunk asks the peers that have the head before the store.
 func (m *Membership) fetchChunk(ctx context.Context, a chunk.Address, sources []netip.AddrPort) ([]byte, error) {
 	for _, from := range sources {
--- a/internal/peer/courier/courier.go
+++ b/internal/peer/courier/courier.go
@@ -197,9 +197,9 @@
 	}
 	switch body := f.GetBody().(type) {
 	case *peerpb.Frame_Failure:
-		return nil, fromFrame(body.Failure)
+		return nil, t.refused(body.Failure)
 	case *peerpb.Frame_Answer:
-		reader := &bodyReader{stream: t.stream, classify: t.lost, finish: t.finish}
+		reader := &bodyReader{stream: t.stream, classify: t.lost, refused: t.refused, finish: t.finish}
 		return &exchange.Answer{
 			Status:        int(body.Answer.GetStatus()),
 			Header:        headers(body.Answer.GetHeaders()),
@@ -213,6 +213,16 @@
 	}
 }
 
+// refused returns the owner's failure. When the entry gave the request up, the
+// owner only knows that its stream was closed, and the entry knows why.
+func (t *transfer) refused(w *peerpb.Failure) *failure.Failure {
+	f := fromFrame(w)
+	if f.Kind == kind.CancelledByCaller && t.ctx.Err() != nil {
+		return failure.FromContext(t.ctx, true)
+	}
+	return f
+}
+
 func fromFrame(f *peerpb.Failure) *failure.Failure {
 	return &failure.Failure{
 		Kind:       kind.Kind(f.GetKind()),
@@ -228,6 +238,7 @@
 type bodyReader struct {
 	stream   *link.Stream
 	classify func(error) *failure.Failure
+	refused  func(*peerpb.Failure) *failure.Failure
 	finish   func()
 	left     []byte
 	trailer  http.Header
@@ -259,7 +270,7 @@
 		r.trailer = headers(body.End.GetTrailers())
 		r.end = io.EOF
 	case *peerpb.Frame_Failure:
-		r.end = fromFrame(body.Failure)
+		r.end = r.refused(body.Failure)
 	default:
 		r.end = r.classify(errors.New("unexpected frame"))
 	}
@@ -337,7 +348,7 @@
 	}
 	r, w := io.Pipe()
 	go func() {
-		body := &bodyReader{stream: stream, classify: func(err error) *failure.Failure {
+		body := &bodyReader{stream: stream, refused: fromFrame, classify: func(err error) *failure.Failure {
 			return failure.New(kind.BrokenRequestBody, "", err)
 		}}
 		_, err := io.CopyBuffer(w, struct{ io.Reader }{body}, make([]byte, chunkSize))
