Shorten the fleet tests and pin silence, relisting and restarts

Cause: on a scratch copy, four faults put into the product passed the tests of currency: votes lost at a new roster, silence counted from before the start, and newer incarnations not counted as the end of older ones (here or in heads). Ruled out: longer schedules; single cases show these at once. Change: cases for the first three; the table of succession already had the last. The store is one more place that cuts concern, so that the harness is shorter.

--- a/internal/fleet/codec/codec_test.go
+++ b/internal/fleet/codec/codec_test.go
@@ -53,24 +53,24 @@
 		for _, m := range someMembers.Draw(t, "joining") {
 			want.Joining = append(want.Joining, currency.Newcomer{Member: m, Age: 7})
 		}
-		b, err := EncodeDigest(want)
-		if err != nil {
-			t.Fatal(err)
-		}
+		b, _ := EncodeDigest(want)
 		got, err := DecodeDigest(b)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got.ProofAge < want.ProofAge || got.ProofAge >= want.ProofAge+time.Microsecond {
+		if rounding := got.ProofAge - want.ProofAge; rounding < 0 || rounding >= time.Microsecond {
 			t.Fatalf("age of the proof: got %v, want %v rounded up", got.ProofAge, want.ProofAge)
 		}
 		got.ProofAge = want.ProofAge
-		if !reflect.DeepEqual(got, want) {
-			t.Fatalf("got %+v, want %+v", got, want)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v and %v, want %+v", got, err, want)
 		}
 	})
 }
 
+var headCodecs = []struct {
+	desc   string
+	encode func(head.Head) ([]byte, error)
+	decode func([]byte) (head.Head, error)
+}{{"text", MarshalHead, UnmarshalHead}, {"protobuf", EncodeHead, DecodeHead}}
+
 func TestEncodeHead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var want head.Head
@@ -78,22 +78,11 @@
 			c := succession.Change{Revision: want.Revision + 1, Manifest: "m", Join: someMembers.Draw(t, "join"), Ended: want.Roster[len(want.Roster)/2:]}
 			want = succession.Next(want, false, c)
 		}
-		codecs := []struct {
-			desc   string
-			encode func(head.Head) ([]byte, error)
-			decode func([]byte) (head.Head, error)
-		}{{"text", MarshalHead, UnmarshalHead}, {"protobuf", EncodeHead, DecodeHead}}
-		for _, c := range codecs {
-			b, err := c.encode(want)
-			if err != nil {
-				t.Fatalf("%s: %v", c.desc, err)
-			}
+		for _, c := range headCodecs {
+			b, _ := c.encode(want)
 			got, err := c.decode(b)
-			if err != nil {
-				t.Fatalf("%s: %v in %s", c.desc, err, b)
-			}
-			if again, _ := c.encode(got); !bytes.Equal(again, b) || fmt.Sprint(got) != fmt.Sprint(want) {
-				t.Fatalf("%s: got %+v, want %+v", c.desc, got, want)
+			if again, _ := c.encode(got); err != nil || !bytes.Equal(again, b) || fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("%s: got %+v and %v, want %+v", c.desc, got, err, want)
 			}
 		}
 	})
@@ -155,67 +144,59 @@
 	_, d := large()
 	b, _ := EncodeDigest(d)
 	f.Add(b)
-	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		d, err := DecodeDigest(b)
-		if err != nil {
-			return
-		}
-		again, err := EncodeDigest(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got, err := DecodeDigest(again); err != nil || !reflect.DeepEqual(got, d) {
-			t.Errorf("got %+v and %v, want %+v", got, err, d)
+		if d, err := DecodeDigest(b); err == nil {
+			again, _ := EncodeDigest(d)
+			if got, err := DecodeDigest(again); err != nil || !reflect.DeepEqual(got, d) {
+				t.Errorf("got %+v and %v, want %+v", got, err, d)
+			}
 		}
 	})
 }
 
 func FuzzDecodeHead(f *testing.F) {
 	h, _ := large()
-	text, _ := MarshalHead(h)
-	f.Add(text)
-	b, _ := EncodeHead(h)
-	f.Add(b)
+	for _, c := range headCodecs {
+		b, _ := c.encode(h)
+		f.Add(b)
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		for _, decode := range []func([]byte) (head.Head, error){UnmarshalHead, DecodeHead} {
-			h, err := decode(b)
-			if err != nil {
-				continue
-			}
-			text, err := MarshalHead(h)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got, err := UnmarshalHead(text); err != nil || fmt.Sprint(got) != fmt.Sprint(h) {
-				t.Errorf("got %+v and %v, want %+v", got, err, h)
+		for _, c := range headCodecs {
+			if h, err := c.decode(b); err == nil {
+				again, _ := c.encode(h)
+				if got, err := c.decode(again); err != nil || fmt.Sprint(got) != fmt.Sprint(h) {
+					t.Errorf("%s: got %+v and %v, want %+v", c.desc, got, err, h)
+				}
 			}
 		}
 	})
 }
 
-func BenchmarkEncodeDigest(b *testing.B) {
-	_, d := large()
-	var encoded []byte
-	for b.Loop() {
-		encoded, _ = EncodeDigest(d)
-	}
-	b.ReportMetric(float64(len(encoded)), "bytes")
-}
-
-func BenchmarkDecodeDigest(b *testing.B) {
+func BenchmarkDigest(b *testing.B) {
 	_, d := large()
 	encoded, _ := EncodeDigest(d)
-	for b.Loop() {
-		_, _ = DecodeDigest(encoded)
-	}
+	b.Run("Encode", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = EncodeDigest(d)
+		}
+		b.ReportMetric(float64(len(encoded)), "bytes")
+	})
+	b.Run("Decode", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = DecodeDigest(encoded)
+		}
+	})
 }
 
-func BenchmarkMarshalHead(b *testing.B) {
+func BenchmarkHead(b *testing.B) {
 	h, _ := large()
-	var text []byte
-	for b.Loop() {
-		text, _ = MarshalHead(h)
+	for _, c := range headCodecs {
+		b.Run(c.desc, func(b *testing.B) {
+			var encoded []byte
+			for b.Loop() {
+				encoded, _ = c.encode(h)
+			}
+			b.ReportMetric(float64(len(encoded)), "bytes")
+		})
 	}
-	b.ReportMetric(float64(len(text)), "bytes")
 }
--- a/internal/fleet/currency/fleet_test.go
+++ b/internal/fleet/currency/fleet_test.go
@@ -101,7 +101,6 @@
 	stood    time.Duration // Total time for which the monotonic clock stood still.
 	jumped   time.Duration // Total of the jumps of the wall clock.
 	paused   time.Duration // Time until which it does nothing.
-	cut      time.Duration // Time until which it does not reach the store.
 }
 
 type message struct {
@@ -114,11 +113,6 @@
 	head     head.Head
 }
 
-type accepted struct {
-	at       time.Duration
-	sequence uint64
-}
-
 // world is a fleet, its network and its store, with an observer that sees all.
 type world struct {
 	plan     plan
@@ -126,17 +120,15 @@
 	rng      *rand.Rand
 	now      time.Duration
 	nodes    []*node
-	store    head.Head
-	heads    []head.Head // All heads ever, by sequence less one.
-	away     time.Duration
-	blocked  map[[2]int]time.Duration
+	heads    []head.Head              // All heads ever, by sequence less one; the store holds the last.
+	blocked  map[[2]int]time.Duration // Times until which a node does not reach another one; the store is -1.
 	messages []*message
 	spare    []*message
 	ran      map[member.Member]uint64
 	ended    map[member.Member]bool
-	accepted []accepted
-	inForce  uint64
-	verdicts [3]int // Number of verdicts on each basis.
+	accepted []time.Duration // Times of acceptance, by sequence less one.
+	inForce  uint64          // Highest head in force, by the observer or by any node.
+	verdicts [3]int          // Number of verdicts on each basis.
 }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -153,9 +145,9 @@
 			roster = append(roster, n.state.Self())
 		}
 	}
-	w.write(succession.Next(head.Head{}, true, succession.Change{Join: roster}))
+	w.heads = []head.Head{succession.Next(head.Head{}, true, succession.Change{Join: roster})}
 	for _, n := range w.nodes {
-		w.run(n, w.store)
+		w.run(n, w.store())
 	}
 	return w
 }
@@ -184,11 +176,18 @@
 	}
 }
 
-func (w *world) write(h head.Head) {
+func (w *world) store() head.Head { return w.heads[len(w.heads)-1] }
+
+func (w *world) cut(from, to int) bool { return w.blocked[[2]int{from, to}] > w.now }
+
+// write is the store's compare-and-swap, for a node that reaches it.
+func (w *world) write(n *node, h head.Head) {
+	if w.cut(n.id, -1) || h.Sequence != w.store().Sequence+1 || len(h.Roster) == 0 {
+		return
+	}
 	if w.mistake == lastRosterOnly && len(h.Pending) > 1 {
 		h.Pending = h.Pending[len(h.Pending)-1:]
 	}
-	w.store = h
 	w.heads = append(w.heads, h)
 }
 
@@ -218,12 +217,10 @@
 	picked := func(i int) bool { return f.mask>>i&1 == 1 }
 	n := w.nodes[f.node]
 	switch f.kind {
-	case storeAway:
-		w.away = end
-	case storeCut:
-		for i, n := range w.nodes {
-			if picked(i) {
-				n.cut = end
+	case storeAway, storeCut:
+		for i := range w.nodes {
+			if f.kind == storeAway || picked(i) {
+				w.blocked[[2]int{i, -1}] = end
 			}
 		}
 	case partition, oneWay:
@@ -246,15 +243,17 @@
 	case restart:
 		w.restart(n)
 	case resign:
-		if n.paused > w.now {
-			return
+		if n.paused <= w.now {
+			n.state.Resign(w.wake(n))
+			w.ended[n.state.Self()] = true
 		}
-		n.state.Resign(w.wake(n))
-		w.ended[n.state.Self()] = true
-	case publish:
-		w.publish(n, succession.Change{Revision: w.store.Revision + 1, Manifest: "m"})
 	default:
-		w.publish(n, w.randomEdit(f.mask))
+		change := succession.Change{Revision: w.store().Revision + 1}
+		if f.kind != publish {
+			change = w.randomEdit(picked)
+		}
+		known := n.state.Accepted() >= w.store().Sequence || w.mistake == acceptedAtOnce
+		w.write(n, succession.Next(w.store(), known, change))
 	}
 }
 
@@ -266,36 +265,22 @@
 }
 
 // randomEdit is an arbitrary change of the roster that says nothing untrue.
-func (w *world) randomEdit(mask uint64) succession.Change {
+func (w *world) randomEdit(picked func(int) bool) succession.Change {
 	var c succession.Change
 	for i, n := range w.nodes {
 		m := n.state.Self()
 		switch {
 		case w.ended[m]:
 			c.Ended = append(c.Ended, m)
-		case mask>>i&1 == 1:
+		case picked(i):
 			c.Join = append(c.Join, m)
 		default:
 			c.Leave = append(c.Leave, m)
 		}
 	}
-	if len(c.Join) == 0 {
-		c.Leave = nil
-	}
 	return c
 }
 
-// publish writes the next head with what n knows of acceptance.
-func (w *world) publish(n *node, c succession.Change) {
-	if w.away > w.now {
-		return
-	}
-	known := n.state.Accepted() >= w.store.Sequence || w.mistake == acceptedAtOnce
-	if next := succession.Next(w.store, known, c); len(next.Roster) > 0 {
-		w.write(next)
-	}
-}
-
 func (w *world) steer(n *node) {
 	now := w.wake(n)
 	s := n.state
@@ -303,21 +288,18 @@
 		Head: s.Head(), Accepted: s.Accepted() >= s.Head().Sequence, Silent: s.Silent(now, steward.SilentAfter),
 		Joining: s.Joining(now), Resigned: s.Resigned(), Rank: n.id,
 	})
-	switch e := effect.(type) {
-	case steward.Propose:
-		if w.away <= w.now && n.cut <= w.now && e.Head.Sequence == w.store.Sequence+1 {
-			w.write(e.Head)
-		}
-	case steward.Wait:
+	if p, ok := effect.(steward.Propose); ok {
+		w.write(n, p.Head)
 	}
 }
 
 // deliver hands over one message; it returns false to try again later.
 func (w *world) deliver(m *message) bool {
+	if m.from >= 0 && w.cut(m.from, m.to) {
+		return true
+	}
 	if m.to < 0 {
-		if w.away <= w.now {
-			w.send(message{answer: true, asker: m.asker, from: -1, to: m.from, asked: m.asked, head: w.store})
-		}
+		w.send(message{answer: true, asker: m.asker, from: -1, to: m.from, asked: m.asked, head: w.store()})
 		return true
 	}
 	n := w.nodes[m.to]
@@ -325,9 +307,6 @@
 		m.due = n.paused + time.Duration(w.rng.Int64N(int64(10*time.Millisecond)))
 		return false
 	}
-	if m.from >= 0 && w.blocked[[2]int{m.from, m.to}] > w.now {
-		return true
-	}
 	now := w.wake(n)
 	if !m.answer {
 		w.send(message{answer: true, asker: m.asker, from: m.to, to: m.from, asked: m.asked, digest: w.encoded(n.state.Digest(now)), head: n.state.Head()})
@@ -366,13 +345,12 @@
 	w.now += time.Duration(w.rng.ExpFloat64() * float64(10*time.Millisecond))
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	if n.paused <= w.now {
-		m := message{asker: n.state.Self(), from: n.id, to: w.rng.IntN(len(w.nodes)), asked: w.wake(n)}
-		switch {
-		case w.rng.IntN(4) == 0 && n.cut <= w.now:
-			m.to = -1
-			w.send(m)
-		case m.to != n.id && w.blocked[[2]int{n.id, m.to}] <= w.now:
-			w.send(m)
+		to := w.rng.IntN(len(w.nodes))
+		if w.rng.IntN(4) == 0 {
+			to = -1
+		}
+		if to != n.id {
+			w.send(message{asker: n.state.Self(), from: n.id, to: to, asked: w.wake(n)})
 		}
 		if w.rng.IntN(8) == 0 {
 			w.steer(n)
@@ -391,9 +369,17 @@
 
 // check compares all nodes with what the observer knows.
 func (w *world) check() string {
-	for q := w.lastAccepted() + 1; q <= w.store.Sequence; q++ {
-		if w.mistake == acceptedAtOnce || succession.Accepted(w.heads[q-1], func(m member.Member) bool { return w.ran[m] >= q || w.ended[m] }) {
-			w.accepted = append(w.accepted, accepted{at: w.now, sequence: q})
+	for q := len(w.accepted); q < len(w.heads); q++ {
+		moved := func(m member.Member) bool { return w.ran[m] > uint64(q) || w.ended[m] }
+		if w.mistake == acceptedAtOnce || succession.Accepted(w.heads[q], moved) {
+			for len(w.accepted) <= q {
+				w.accepted = append(w.accepted, w.now)
+			}
+		}
+	}
+	for q, at := range w.accepted {
+		if w.now > at+currency.ForceDelay(currency.DefaultWindow) {
+			w.inForce = max(w.inForce, uint64(q)+1)
 		}
 	}
 	for _, n := range w.nodes {
@@ -402,12 +388,12 @@
 		}
 		now := w.wake(n)
 		w.inForce = max(w.inForce, n.state.InForce(now))
-		if got, most := n.state.Accepted(), w.lastAccepted(); got > most {
+		if got, most := n.state.Accepted(), uint64(len(w.accepted)); got > most {
 			return fmt.Sprintf("node %d at %v takes head %d as accepted, only %d is", n.id, w.now, got, most)
 		}
 		v := n.state.Current(now)
-		if got := n.state.Head().Sequence; v.Current && (got < w.inForce || got < w.settled()) {
-			return fmt.Sprintf("node %d at %v is current by %v on head %d, when %d is in force", n.id, w.now, v.By, got, max(w.inForce, w.settled()))
+		if got := n.state.Head().Sequence; v.Current && got < w.inForce {
+			return fmt.Sprintf("node %d at %v is current by %v on head %d, when %d is in force", n.id, w.now, v.By, got, w.inForce)
 		}
 		if v.Current != !v.Until.Before(now) || n.state.Head().Sequence < w.ran[n.state.Self()] {
 			return fmt.Sprintf("node %d at %v has verdict %+v, or went back to head %d", n.id, w.now, v, n.state.Head().Sequence)
@@ -417,23 +403,6 @@
 	return ""
 }
 
-func (w *world) lastAccepted() uint64 {
-	if len(w.accepted) == 0 {
-		return 0
-	}
-	return w.accepted[len(w.accepted)-1].sequence
-}
-
-// settled is the highest head accepted for the delay after which it is in force.
-func (w *world) settled() uint64 {
-	for _, a := range slices.Backward(w.accepted) {
-		if w.now > a.at+currency.ForceDelay(currency.DefaultWindow) {
-			return a.sequence
-		}
-	}
-	return 0
-}
-
 // play runs the plan and then a quiet time from when the last node goes on. It
 // returns the first violation.
 func (w *world) play(quiet time.Duration) string {
@@ -451,11 +420,9 @@
 	if quiet == 0 {
 		return ""
 	}
-	w.away = 0
 	clear(w.blocked)
 	end := horizon
 	for _, n := range w.nodes {
-		n.cut = 0
 		end = max(end, n.paused)
 		if w.ended[n.state.Self()] {
 			w.restart(n) // A node that resigned is replaced in the end.
@@ -471,12 +438,12 @@
 
 // converged returns what keeps the fleet from being whole, if anything.
 func (w *world) converged() string {
-	if got, want := len(w.store.Roster), len(w.nodes); got != want {
-		return fmt.Sprintf("the roster has %d members, want %d: %v", got, want, w.store)
+	if got, want := len(w.store().Roster), len(w.nodes); got != want {
+		return fmt.Sprintf("the roster has %d members, want %d: %v", got, want, w.store())
 	}
 	for _, n := range w.nodes {
 		now := w.wake(n)
-		v, got, want := n.state.Current(now), n.state.InForce(now), w.store.Sequence
+		v, got, want := n.state.Current(now), n.state.InForce(now), w.store().Sequence
 		if !v.Current || n.state.Head().Sequence != want || got != want {
 			return fmt.Sprintf("node %d has %+v on head %d with %d in force, want %d", n.id, v, n.state.Head().Sequence, got, want)
 		}
--- a/internal/fleet/currency/rule_test.go
+++ b/internal/fleet/currency/rule_test.go
@@ -56,6 +56,9 @@
 	}
 	late := func(s *currency.State) { s.ObserveStore(start.Add(-ms), first) }
 	drop := func(s *currency.State) { s.Drop(start.Add(ms)) }
+	run := func(s *currency.State) {
+		_ = s.Run(start.Add(ms), third)
+	}
 	newer := func(s *currency.State) { s.ObservePeer(start.Add(ms), start.Add(ms), peer(2, third)) }
 	tests := []struct {
 		desc   string
@@ -76,6 +79,7 @@
 		{"one of three runs a newer head", []func(*currency.State){hear(1, 2), newer}, currency.ByNone, currency.ReasonNewerHead, 0},
 		{"suspended after the answers", []func(*currency.State){hear(1, 2), read(second), drop}, currency.ByNone, currency.ReasonNoProof, 0},
 		{"answers under way while suspended", []func(*currency.State){drop, hear(1, 2), relay, read(second)}, currency.ByNone, currency.ReasonNoProof, 0},
+		{"attestations of the head before", []func(*currency.State){hear(1, 2), run}, currency.ByAttestations, "", 2001 * ms},
 		{"resigned", []func(*currency.State){read(second), func(s *currency.State) { s.Resign(start) }}, currency.ByNone, currency.ReasonResigned, 0},
 	}
 	for _, tt := range tests {
@@ -106,7 +110,9 @@
 	if got := s.Accepted(); got != 0 {
 		t.Fatalf("accepted by two of five: got head %d, want none", got)
 	}
-	s.ObservePeer(start, heard, peer(2, second)) // The answer itself lay for a minute.
+	restarted := peer(2, head.Head{})
+	restarted.From.Incarnation = 2 // Which proves that the member has ended; the answer lay for a minute.
+	s.ObservePeer(start, heard, restarted)
 	if got, want := s.Accepted(), second.Sequence; got != want {
 		t.Fatalf("accepted by three of five: got head %d, want %d", got, want)
 	}
@@ -169,6 +175,9 @@
 		t.Errorf("got newcomers %v, want %v", got.Joining, want)
 	}
 	later := start.Add(3*time.Second + 1)
+	if got := s.Silent(start.Add(3*time.Second), 3*time.Second); len(got) != 0 {
+		t.Errorf("got silent members %v so soon after the start, want none", got)
+	}
 	if got, want := s.Silent(later, 3*time.Second), second.Roster[1:]; !slices.Equal(got, want) {
 		t.Errorf("got silent members %v, want %v", got, want)
 	}
--- a/internal/fleet/currency/spread_test.go
+++ b/internal/fleet/currency/spread_test.go
@@ -61,12 +61,9 @@
 					now := start.Add(time.Duration(i+1) * time.Second / time.Duration(rate))
 					size = pull(states, rng, now)
 					for _, s := range states {
-						if now.Sub(start) < 3*time.Second {
-							continue
-						}
-						checks++
-						if s.Current(now.Add(time.Second / time.Duration(rate))).Current {
-							current++
+						if now.Sub(start) >= 3*time.Second {
+							checks++
+							current += int(s.Current(now.Add(time.Second/time.Duration(rate))).By / currency.ByAttestations)
 						}
 					}
 				}
@@ -77,7 +74,7 @@
 	}
 }
 
-func BenchmarkState_ObservePeer(b *testing.B) {
+func BenchmarkState(b *testing.B) {
 	states := pullers()
 	rng := rand.New(rand.NewPCG(1, 1))
 	now := start
@@ -86,16 +83,16 @@
 		pull(states, rng, now)
 	}
 	d := states[1].Digest(now)
-	for b.Loop() {
-		now = now.Add(time.Millisecond)
-		states[0].ObservePeer(now, now, d)
-		states[0].Current(now)
-	}
-}
-
-func BenchmarkState_Digest(b *testing.B) {
-	states := pullers()
-	for b.Loop() {
-		states[0].Digest(start)
-	}
+	b.Run("Digest", func(b *testing.B) {
+		for b.Loop() {
+			states[1].Digest(now)
+		}
+	})
+	b.Run("ObservePeer", func(b *testing.B) {
+		for b.Loop() {
+			now = now.Add(time.Millisecond)
+			states[0].ObservePeer(now, now, d)
+			states[0].Current(now)
+		}
+	})
 }
--- a/internal/fleet/suspend/detector_test.go
+++ b/internal/fleet/suspend/detector_test.go
@@ -15,30 +15,25 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var d Detector
 		wall, mono := 100*time.Hour, time.Duration(0)
-		type pause struct{ at, length time.Duration }
-		var missed []pause
+		var missed []time.Duration // Suspensions by the reading that should have shown them.
+		var read []time.Duration
 		for range rapid.IntRange(1, 60).Draw(t, "readings") {
 			run := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "run"))
-			mono += run
-			wall += run + run/2000 // The wall clock is corrected by 0.5 ms a second.
 			suspended := time.Duration(rapid.Int64Range(0, int64(2*Threshold)).Draw(t, "suspended"))
-			if rapid.Bool().Draw(t, "running") {
+			mono += run
+			wall += run + run/2000 + suspended // The wall clock is corrected by 0.5 ms a second.
+			if d.Observe(wall, mono) || len(read) == 0 {
+				missed, read = nil, nil
 				suspended = 0
 			}
-			wall += suspended
-			reported := d.Observe(wall, mono)
-			if reported {
-				missed = nil
-				continue
-			}
-			missed = append(missed, pause{mono, suspended})
-			var total time.Duration
-			for _, p := range missed[1:] {
-				if mono-p.at < anchorLife {
-					total += p.length
+			missed, read = append(missed, suspended), append(read, mono)
+			total := time.Duration(0)
+			for i := range read {
+				if mono-read[i] < anchorLife {
+					total += missed[i]
 				}
 			}
-			if len(missed) > 1 && total > MaxMissed {
+			if total > MaxMissed {
 				t.Fatalf("got no report at %v, want one: suspended for %v", mono, total)
 			}
 		}
