Spread the measured pool over data centres and pool latencies

All backend servers announced one data centre, so one node owned the whole pool and a cut between another node and one of them touched nothing: both runs of that scenario failed once the cut looked for an owned backend server. Backend servers now take data centres and first nodes in turn, and the cut takes one that the node owns. Latencies of all runs are pooled, since a p99 of 330 answers says little, and a scenario with 1 ms answers shows the path. Seen failing with the mechanism taken out: TestWriteAdded with the median in place of p99, and with refusals counted. go test -race of the packages passes.

--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,7 +18,7 @@
 func backendCommand() *cobra.Command {
 	var s backend.Settings
 	var listen string
-	var announce []string
+	var announce, dataCentres []string
 	var count int
 	c := &cobra.Command{
 		Use:   "backend",
@@ -31,14 +32,14 @@
 			if s.Announce, err = parseAddresses("--announce", announce); err != nil {
 				return err
 			}
-			return runBackends(c, several(s, count))
+			return runBackends(c, several(s, count, dataCentres))
 		},
 	}
 	f := c.Flags()
 	f.StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
 	f.IntVar(&count, "count", 1, "backend servers to run, on ports that follow one another")
 	f.StringVar(&s.Service, "service", "booking", "service to announce")
-	f.StringVar(&s.DataCentre, "data-centre", "dc1", "data centre to announce")
+	f.StringSliceVar(&dataCentres, "data-centre", []string{"dc1"}, "data centre to announce; several are taken in turn by the backend servers")
 	f.IntVar(&s.Slots, "slots", backend.DefaultSlots, "requests that run at once")
 	f.IntVar(&s.Queue, "queue", backend.DefaultQueue, "requests that wait for a slot")
 	f.StringArrayVar(&announce, "announce", nil, "backend-facing address of a node (repeatable)")
@@ -51,10 +52,19 @@
 	return c
 }
 
-// several returns backend servers that differ in port and seed.
-func several(s backend.Settings, count int) []*backend.Server {
+// several returns backend servers that differ in port and seed, and take the
+// data centres and the nodes to announce to in turn.
+func several(s backend.Settings, count int, dataCentres []string) []*backend.Server {
 	out := make([]*backend.Server, 0, count)
-	for range count {
+	nodes := s.Announce
+	for i := range count {
+		if len(dataCentres) > 0 {
+			s.DataCentre = dataCentres[i%len(dataCentres)]
+		}
+		if len(nodes) > 0 {
+			first := i % len(nodes)
+			s.Announce = slices.Concat(nodes[first:], nodes[:first])
+		}
 		out = append(out, backend.New(s))
 		s.Seed++
 		if s.Listen.Port() != 0 {
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -25,6 +26,23 @@
 	os.Exit(m.Run())
 }
 
+func TestReplaceResults(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "page.md")
+	for _, tt := range []struct {
+		desc, page, want string
+		fails            bool
+	}{
+		{"old results", "# Page\n\n## Results\n\nold\n", "# Page\n\n## Results\n\nnew\n", false},
+		{"no results", "# Page\n", "# Page\n", true},
+	} {
+		os.WriteFile(path, []byte(tt.page), 0o600)
+		err := replaceResults(path, []byte("new\n"))
+		if got, _ := os.ReadFile(path); string(got) != tt.want || (err != nil) != tt.fails {
+			t.Errorf("%s: got %q, %v, want %q", tt.desc, got, err, tt.want)
+		}
+	}
+}
+
 // TestLoad runs backend servers and load as processes: one of three backend
 // servers fails, and a balancer that ejects stops using it.
 func TestLoad(t *testing.T) {
--- a/cmd/standin/measure.go
+++ b/cmd/standin/measure.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,9 +18,15 @@
 	"filbertturn.example/filbertturn/internal/standin/cluster"
 	"filbertturn.example/filbertturn/internal/standin/comparison"
 	"filbertturn.example/filbertturn/internal/standin/experiment"
+	"filbertturn.example/filbertturn/internal/standin/measure"
 	"filbertturn.example/filbertturn/internal/standin/scenario"
 )
 
+const (
+	resultsHeading = "\n## Results\n"
+	documentMode   = 0o644
+)
+
 // measureFlags are the flags of the measure command.
 type measureFlags struct {
 	settings      experiment.Settings
@@ -31,6 +38,8 @@
 	parallel      int
 	parallelFleet int
 	json          string
+	records       string
+	document      string
 	verbose       bool
 }
 
@@ -58,8 +67,10 @@
 	f.Uint64Var(&m.firstSeed, "first-seed", 1, "seed of the first run of each scenario and policy")
 	f.Uint64Var(&m.seeds, "seeds", 5, "runs of each scenario and policy")
 	f.IntVar(&m.parallel, "parallel", 20, "baseline runs at once")
-	f.IntVar(&m.parallelFleet, "parallel-fleets", 20, "fleets at once")
+	f.IntVar(&m.parallelFleet, "parallel-fleets", 24, "fleets at once")
 	f.StringVar(&m.json, "json", "", "file for the rows as lines of JSON")
+	f.StringVar(&m.document, "document", "", "Markdown file whose text after the heading \"Results\" is replaced")
+	f.StringVar(&m.records, "records", "", "file for every request as lines of JSON, each run after a line with its case")
 	f.BoolVar(&m.verbose, "verbose", false, "print each run to standard error")
 	return c
 }
@@ -93,7 +104,13 @@
 		}
 	}
 	start := time.Now()
-	rows := comparison.Rows(experiment.New(m.settings).Run(ctx, cases))
+	results := experiment.New(m.settings).Run(ctx, cases)
+	if m.records != "" {
+		if err := writeLines(m.records, recordLines(results)); err != nil {
+			return err
+		}
+	}
+	rows := comparison.Rows(results)
 	return m.print(c, rows, len(cases), time.Since(start))
 }
 
@@ -118,30 +135,70 @@
 	return out
 }
 
+// print writes the results to standard output and to the files asked for.
 func (m measureFlags) print(c *cobra.Command, rows []*comparison.Row, cases int, took time.Duration) error {
-	out := c.OutOrStdout()
-	if _, err := fmt.Fprintf(out, "%d runs with seeds %d to %d and %d nodes took %s.\n",
-		cases, m.firstSeed, m.firstSeed+m.seeds-1, m.settings.Nodes, took.Round(time.Second)); err != nil {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "%d runs with seeds %d to %d and %d nodes, %d fleets and %d baseline runs at once, took %s.\n",
+		cases, m.firstSeed, m.firstSeed+m.seeds-1, m.settings.Nodes, m.parallelFleet, m.parallel, took.Round(time.Second))
+	if err := comparison.WriteTable(&text, rows); err != nil {
 		return err
 	}
-	if err := comparison.WriteTable(out, rows); err != nil {
+	if err := comparison.WriteAdded(&text, rows); err != nil {
 		return err
 	}
-	misses := comparison.Misses(rows)
-	text := "\nNo measure is worse than that of the best baseline.\n"
-	if len(misses) > 0 {
-		text = "\nWorse than the best baseline:\n\n- " + strings.Join(misses, "\n- ") + "\n"
+	if misses := comparison.Misses(rows); len(misses) > 0 {
+		fmt.Fprintf(&text, "\nWorse than the best baseline:\n\n- %s\n", strings.Join(misses, "\n- "))
+	} else {
+		fmt.Fprint(&text, "\nNo measure is worse than that of the best baseline.\n")
 	}
-	if _, err := fmt.Fprint(out, text); err != nil {
+	if _, err := c.OutOrStdout().Write(text.Bytes()); err != nil {
 		return err
 	}
+	if m.document != "" {
+		if err := replaceResults(m.document, text.Bytes()); err != nil {
+			return err
+		}
+	}
 	if m.json == "" {
 		return nil
 	}
-	return writeRows(m.json, rows)
+	lines := make([]any, 0, len(rows))
+	for _, r := range rows {
+		lines = append(lines, r)
+	}
+	return writeLines(m.json, lines)
 }
 
-func writeRows(path string, rows []*comparison.Row) (err error) {
+// replaceResults puts text in place of all that follows the heading of the
+// results in a Markdown file.
+func replaceResults(path string, text []byte) error {
+	old, err := os.ReadFile(path) //nolint:gosec // The path is the user's argument.
+	if err != nil {
+		return err
+	}
+	head, _, found := bytes.Cut(old, []byte(resultsHeading))
+	if !found {
+		return fmt.Errorf("%s has no heading %q", path, resultsHeading)
+	}
+	return os.WriteFile(path, slices.Concat(head, []byte(resultsHeading), []byte("\n"), text), documentMode) //nolint:gosec // The path is the user's argument.
+}
+
+func recordLines(results []experiment.Result) []any {
+	var lines []any
+	for _, r := range results {
+		lines = append(lines, struct {
+			Deployment, Scenario, Policy string
+			Seed                         uint64
+			Summary                      measure.Summary
+		}{r.Case.Deployment.Name, r.Case.Scenario.Name, r.Case.Policy, r.Case.Seed, r.Summary})
+		for _, record := range r.Records {
+			lines = append(lines, record)
+		}
+	}
+	return lines
+}
+
+func writeLines(path string, lines []any) (err error) {
 	f, err := os.Create(path) //nolint:gosec // The path is the user's argument.
 	if err != nil {
 		return err
@@ -151,8 +208,9 @@
 			err = e
 		}
 	}()
-	for _, r := range rows {
-		if err := json.NewEncoder(f).Encode(r); err != nil {
+	out := json.NewEncoder(f)
+	for _, l := range lines {
+		if err := out.Encode(l); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/config/document"
@@ -146,6 +147,7 @@
 		"--listen", c.BackendServers[from].String(),
 		"--count", strconv.Itoa(to - from),
 		"--service", p.Service,
+		"--data-centre", strings.Join(dataCentres, ","),
 		"--slots", strconv.Itoa(p.Slots),
 		"--latency", p.Latency.String(),
 		"--cold-start", p.ColdStart.String(),
@@ -232,7 +234,9 @@
 }
 
 // dataCentre spreads the nodes over three data centres.
-func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%3+1) }
+func dataCentre(i int) string { return dataCentres[i%len(dataCentres)] }
+
+var dataCentres = []string{"dc1", "dc2", "dc3"}
 
 // publish repeats the first publish until a node takes it.
 func (c *Cluster) publish(ctx context.Context) error {
--- a/internal/standin/comparison/comparison.go
+++ b/internal/standin/comparison/comparison.go
@@ -42,8 +42,10 @@
 	WorstP99           Spread  // Seconds, likewise.
 	WrongfulShare      float64 // Over all runs.
 	Wrongful, Inside   int
-	WrongfulRun        Spread // Share, by run.
-	P50, P99           Spread // Seconds, of complete answers.
+	WrongfulRun        Spread  // Share, by run.
+	P50, P99           Spread  // Seconds, of complete answers, by run.
+	PooledP50          float64 // Seconds, of the complete answers of all runs.
+	PooledP99          float64
 	Results            map[load.Result]int
 	Doubled            int
 	FalseNotRun        int
@@ -52,6 +54,7 @@
 	healthy            time.Duration
 	samples            map[string][]float64
 	detectionInSeconds []float64
+	latencies          []float64 // Seconds, of all complete answers.
 }
 
 // Rows gathers results, in the order in which the rows' first cases come.
@@ -64,6 +67,11 @@
 			continue
 		}
 		row.add(r.Summary)
+		for _, x := range r.Records {
+			if x.Result == load.Done {
+				row.latencies = append(row.latencies, x.Latency.Seconds())
+			}
+		}
 	}
 	for _, row := range rows {
 		row.finish()
@@ -132,6 +140,10 @@
 	r.WrongfulRun = spread(r.samples["wrongful"])
 	r.P50 = spread(r.samples["p50"])
 	r.P99 = spread(r.samples["p99"])
+	slices.Sort(r.latencies)
+	if n := len(r.latencies); n > 0 {
+		r.PooledP50, r.PooledP99 = r.latencies[n/2], r.latencies[n*99/100]
+	}
 	r.WrongfulShare = float64(r.Wrongful) / float64(max(1, r.Inside))
 	if r.healthy > 0 {
 		r.FalsePerHour = float64(r.FalseEjections) / r.healthy.Hours()
--- a/internal/standin/comparison/comparison_test.go
+++ b/internal/standin/comparison/comparison_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/standin/experiment"
+	"filbertturn.example/filbertturn/internal/standin/load"
 	"filbertturn.example/filbertturn/internal/standin/measure"
 	"filbertturn.example/filbertturn/internal/standin/scenario"
 )
@@ -59,6 +60,30 @@
 	}
 }
 
+func TestWriteAdded(t *testing.T) {
+	var results []experiment.Result
+	for _, policy := range []string{experiment.Fleet, "round-robin"} {
+		r := result(policy, 0, 100, 0, 0)
+		r.Case.Scenario.Name = "steady"
+		for i := range 200 {
+			latency := time.Duration(i) * time.Millisecond
+			if policy == experiment.Fleet {
+				latency += time.Millisecond + latency/10
+			}
+			r.Records = append(r.Records, load.Record{Result: load.Done, Latency: latency})
+		}
+		r.Records = append(r.Records, load.Record{Result: load.NotRun, Latency: time.Hour})
+		results = append(results, r)
+	}
+	var out strings.Builder
+	if err := WriteAdded(&out, Rows(results)); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := out.String(), "p50 +11.0 ms, p99 +20.8 ms over 200 and 200 answers"; !strings.Contains(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 func TestMisses(t *testing.T) {
 	tests := []struct {
 		desc  string
--- a/internal/standin/comparison/table.go
+++ b/internal/standin/comparison/table.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"filbertturn.example/filbertturn/internal/standin/baseline"
+	"filbertturn.example/filbertturn/internal/standin/experiment"
 	"filbertturn.example/filbertturn/internal/standin/load"
 )
 
@@ -29,6 +31,29 @@
 	return err
 }
 
+// WriteAdded prints by how much the fleet's latencies exceed those of round
+// robin in the scenarios without a fault, over all runs together.
+func WriteAdded(w io.Writer, rows []*Row) error {
+	var b strings.Builder
+	for _, fleet := range rows {
+		for _, direct := range rows {
+			if fleet.Policy != experiment.Fleet || direct.Policy != string(baseline.RoundRobin) || !fleet.steady() ||
+				fleet.Scenario != direct.Scenario || fleet.Deployment != direct.Deployment {
+				continue
+			}
+			fmt.Fprintf(&b, "- %s, %s: p50 +%.1f ms, p99 +%.1f ms over %d and %d answers\n", fleet.Deployment, fleet.Scenario,
+				millis(fleet.PooledP50-direct.PooledP50), millis(fleet.PooledP99-direct.PooledP99), len(fleet.latencies), len(direct.latencies))
+		}
+	}
+	if b.Len() == 0 {
+		return nil
+	}
+	_, err := io.WriteString(w, "\nAdded latency against round robin without a proxy:\n\n"+b.String())
+	return err
+}
+
+func (r *Row) steady() bool { return strings.HasPrefix(r.Scenario, "steady") }
+
 func (r *Row) line() string {
 	if r.Runs == 0 {
 		return fmt.Sprintf("| %s | %s | not measured: %d runs failed | | | | | | | |\n", r.Scenario, r.Policy, len(r.Errors))
--- a/internal/standin/experiment/event.go
+++ b/internal/standin/experiment/event.go
@@ -37,8 +37,7 @@
 		r.note(r.cluster.StartLate())
 	case scenario.Cut:
 		if fleet {
-			deaf := fault.Setting{Deaf: []int{r.cluster.NodeID(last)}}
-			r.note(r.experiment.remote.Set(ctx, r.cluster.BackendServers[0], deaf))
+			r.note(r.cut(ctx, last))
 		}
 	case scenario.Freeze:
 		if fleet {
@@ -50,6 +49,19 @@
 	}
 }
 
+// cut keeps a node from a backend server that it owns.
+func (r *run) cut(ctx context.Context, node int) error {
+	s, err := cluster.GetStatus(ctx, r.cluster.Admins[node])
+	if err != nil {
+		return err
+	}
+	if len(s.BackendServers) == 0 {
+		return fmt.Errorf("node %s owns no backend server", r.cluster.Admins[node])
+	}
+	deaf := fault.Setting{Deaf: []int{r.cluster.NodeID(node)}}
+	return r.experiment.remote.Set(ctx, s.BackendServers[0].BackendServer, deaf)
+}
+
 func (r *run) note(err error) {
 	if err == nil {
 		return
--- a/internal/standin/experiment/experiment.go
+++ b/internal/standin/experiment/experiment.go
@@ -43,6 +43,7 @@
 type Result struct {
 	Case    Case
 	Summary measure.Summary
+	Records []load.Record // Of every request.
 	Err     error
 }
 
@@ -111,7 +112,7 @@
 	if r.Err = ctx.Err(); r.Err != nil {
 		return r
 	}
-	r.Summary, r.Err = e.measure(ctx, c)
+	r.Summary, r.Records, r.Err = e.measure(ctx, c)
 	return r
 }
 
@@ -127,14 +128,14 @@
 	errs      []error
 }
 
-func (e *Experiment) measure(ctx context.Context, c Case) (measure.Summary, error) {
+func (e *Experiment) measure(ctx context.Context, c Case) (measure.Summary, []load.Record, error) {
 	cl, err := cluster.Start(ctx, e.clusterSettings(c))
 	if err != nil {
-		return measure.Summary{}, err
+		return measure.Summary{}, nil, err
 	}
 	defer cl.Close()
 	if c.Policy == Fleet && !pause(ctx, e.settings.WarmUp) {
-		return measure.Summary{}, ctx.Err()
+		return measure.Summary{}, nil, ctx.Err()
 	}
 	r := &run{Case: c, experiment: e, cluster: cl, start: time.Now().Add(startDelay)}
 	return r.measure(ctx)
@@ -165,7 +166,7 @@
 	return s
 }
 
-func (r *run) measure(ctx context.Context) (measure.Summary, error) {
+func (r *run) measure(ctx context.Context) (measure.Summary, []load.Record, error) {
 	customers := r.Scenario.Customers(r.Deployment)
 	settings := load.Settings{
 		Customers: customers,
@@ -178,7 +179,7 @@
 	}
 	if r.Policy != Fleet {
 		if err := r.direct(&settings); err != nil {
-			return measure.Summary{}, err
+			return measure.Summary{}, nil, err
 		}
 	}
 	watch, stop := context.WithCancel(ctx)
@@ -197,12 +198,13 @@
 		r.eject(r.cluster.BackendServers[x.Server], x.At)
 	}
 	if err := ctx.Err(); err != nil {
-		return measure.Summary{}, err
+		return measure.Summary{}, records, err
 	}
 	if len(r.errs) > 0 {
-		return measure.Summary{}, r.errs[0]
+		return measure.Summary{}, records, r.errs[0]
 	}
-	return r.summarise(ctx, customers, records)
+	s, err := r.summarise(ctx, customers, records)
+	return s, records, err
 }
 
 // direct makes the baseline's proxies, one in place of each node.
--- a/internal/standin/scenario/scenario.go
+++ b/internal/standin/scenario/scenario.go
@@ -32,9 +32,12 @@
 	ColdStart     = 4 * time.Second
 	Timeout       = time.Second
 	usualLatency  = 25 * time.Millisecond  // Median time to run a request.
+	lightLatency  = time.Millisecond       // The same where the latency of the path itself is looked at.
 	heavyLatency  = 100 * time.Millisecond // The same where capacity is to be scarce.
 	inTimeFactor  = 8                      // An answer within this many medians is in time.
-	referenceSlot = 3                      // Slots for which the rates are given; they grow with the slots.
+	leastInTime   = 100 * time.Millisecond
+	lightScale    = 10 // Requests for one in the other scenarios.
+	referenceSlot = 3  // Slots for which the rates are given; they grow with the slots.
 )
 
 // Event is something that happens besides a fault of backend servers.
@@ -43,7 +46,7 @@
 // The events.
 const (
 	None      Event = iota
-	Cut             // The last node loses the first backend server, one way.
+	Cut             // One backend server hears the last node no longer.
 	Freeze          // The last node stands still for FreezeTime.
 	StoreAway       // The store is away from before the first request on.
 	Late            // Half of the pool starts at FaultAt, cold.
@@ -58,6 +61,7 @@
 	Detect  bool // The time until they are out of service is measured.
 	Event   Event
 	Routing load.Routing
+	Light   bool // Requests take little time and are many.
 	Heavy   bool // Requests take longer, so that capacity is scarce.
 	Surge   bool // The first customer sends ten times its limit.
 	Length  time.Duration
@@ -68,6 +72,7 @@
 	slow, share := fault.Setting{Mode: fault.Slow, Factor: 10}, 0.3
 	all := []Scenario{
 		{Name: "steady"},
+		{Name: "steady, 1 ms answers", Light: true},
 		{Name: "one 10x slow", Fault: slow, Faulty: 1, Blame: true, Detect: true},
 		{Name: "one 30% errors", Fault: fault.Setting{Mode: fault.Error, Share: share}, Faulty: 1, Blame: true, Detect: true},
 		{Name: "one wrong with 200", Fault: fault.Setting{Mode: fault.Wrong}, Faulty: 1, Blame: true, Detect: true},
@@ -97,19 +102,26 @@
 
 // Latency returns the median time to run a request.
 func (s Scenario) Latency() time.Duration {
-	if s.Heavy {
+	switch {
+	case s.Light:
+		return lightLatency
+	case s.Heavy:
 		return heavyLatency
 	}
 	return usualLatency
 }
 
 // InTime returns the time within which an answer is in time.
-func (s Scenario) InTime() time.Duration { return inTimeFactor * s.Latency() }
+func (s Scenario) InTime() time.Duration { return max(leastInTime, inTimeFactor*s.Latency()) }
 
 // Customers returns two large and six small customers. Together they send 30
-// requests a second, or more in proportion where capacity is scarce.
+// requests a second, or more where capacity is scarce or answers
+// are quick.
 func (s Scenario) Customers(d Deployment) []arrival.Customer {
 	scale := 1.0
+	if s.Light {
+		scale = lightScale
+	}
 	if s.Heavy {
 		scale = 2 * float64(d.Slots) / referenceSlot
 	}
