Collect unused chunks with every 50th publish

Change: Publish runs it after every 50th revision; what it fails to delete is left to the next run. Ruled out: a timer in each node, which would multiply the calls by the fleet.

--- a/internal/config/publisher/keeping.go
+++ b/internal/config/publisher/keeping.go
@@ -16,7 +16,8 @@
 	// an older head still find its chunks.
 	KeptManifests = 20
 
-	pageSize = 500 // Keys of one listing.
+	pageSize     = 500 // Keys of one listing.
+	collectEvery = 50  // Revisions between two runs of Collect.
 )
 
 // Audit returns at most limit records, the newest first.
@@ -51,7 +52,8 @@
 	return records, nil
 }
 
-// Collect deletes the chunks that none of the last Kept revisions uses, and the audit records before the last audit.Kept. It returns how many
+// Collect runs with every 50th publish, and may be called at any time. It
+// deletes the chunks that none of the last Kept revisions uses, and the audit records before the last audit.Kept. It returns how many
 // it deleted.
 //
 // It runs beside publishers: a publisher writes every chunk that its base
@@ -141,11 +143,19 @@
 	}
 }
 
-// trim deletes one audit record. If it fails, Collect does so later.
-func (p *Publisher) trim(ctx context.Context, revision uint64) {
+// tidy follows a publish, which has succeeded whatever becomes of it. What it
+// fails to delete is left to the next Collect.
+func (p *Publisher) tidy(ctx context.Context, revision uint64) {
+	if revision%collectEvery == 0 {
+		_, _ = p.Collect(ctx)
+		return
+	}
+	if revision <= audit.Kept {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	item, found, err := p.Store.Get(ctx, audit.Key(revision))
+	item, found, err := p.Store.Get(ctx, audit.Key(revision-audit.Kept))
 	if err == nil && found {
 		_ = p.Store.Delete(ctx, store.Compare{Key: item.Key, Revision: item.Revision})
 	}
--- a/internal/config/publisher/publisher.go
+++ b/internal/config/publisher/publisher.go
@@ -120,8 +120,8 @@
 	if errors.As(f.err, &conflict) {
 		conflict.Changes = p.since(ctx, conflict)
 	}
-	if f.err == nil && f.result.Record.To > audit.Kept {
-		p.trim(ctx, f.result.Record.To-audit.Kept)
+	if f.err == nil {
+		p.tidy(ctx, f.result.Record.To)
 	}
 	return f.result, f.err
 }
--- a/internal/config/publisher/publisher_test.go
+++ b/internal/config/publisher/publisher_test.go
@@ -262,6 +262,14 @@
 	if deleted, err := p.Collect(ctx); err != nil || deleted != 0 {
 		t.Errorf("got %d deleted again, %v, want none", deleted, err)
 	}
+	for base := uint64(5); base < 50; base++ {
+		if _, err := p.Publish(ctx, request(base, fmt.Sprint(base), fmt.Sprint("customer", base))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := chunks(); got != 5 {
+		t.Errorf("got %d chunks after 50 revisions, want 5", got)
+	}
 }
 
 func TestPublisher_Publish_trail(t *testing.T) {
