--- a/internal/backend/exchange/exchange_test.go
+++ b/internal/backend/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -201,6 +202,67 @@
 	}
 }
 
+// TestClient_Do_abandoned leaves answers before their bodies arrive.
+func TestClient_Do_abandoned(t *testing.T) {
+	c, _ := serve(t, func(w io.Writer, r *http.Request) bool {
+		body := r.URL.Path
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(w, body)
+		return true
+	})
+	for i := range 10 {
+		r := request(fmt.Sprint("left", i))
+		r.Target, r.Idempotent = "/left", true
+		answer, err := c.Do(context.Background(), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Body.Close()
+		r = request(fmt.Sprint("r", i))
+		r.Target, r.Idempotent = fmt.Sprint("/r", i), true
+		if got, body := do(c, r); got != "" || body != r.Target {
+			t.Fatalf("got %q with body %q, want body %q", got, body, r.Target)
+		}
+	}
+}
+
+// TestClient_Do_freshConnection checks that a request that must not be repeated
+// gets a connection of its own: an idle one may have died unseen.
+func TestClient_Do_freshConnection(t *testing.T) {
+	tests := []struct {
+		desc       string
+		idempotent bool
+		want       int
+	}{
+		{desc: "idempotent", idempotent: true, want: 1},
+		{desc: "not idempotent", idempotent: false, want: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var mu sync.Mutex
+			conns := make(map[io.Writer]bool)
+			c, _ := serve(t, func(w io.Writer, _ *http.Request) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				conns[w] = true
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return true
+			})
+			for i := range 2 {
+				r := request(fmt.Sprint(i))
+				r.Idempotent = i == 0 || tt.idempotent
+				if got, _ := do(c, r); got != "" {
+					t.Fatalf("got %s", got)
+				}
+			}
+			if got := len(conns); got != tt.want {
+				t.Errorf("got %d connections, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestClient_Do_brokenBody checks that a backend server sees a cut body as cut.
 func TestClient_Do_brokenBody(t *testing.T) {
 	whole := make(chan error, 1)
