Outdate cached fleet tests when a program changes

Change: the tests import the command line package. Result: with currency taken out TestNode_frozen fails (a withdrawn key is answered 200 by the thawed node), run with -count=1; with it in, it passes.

--- a/internal/check/fleet/fixture_test.go
+++ b/internal/check/fleet/fixture_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/admin/client"
+	_ "filbertturn.example/filbertturn/internal/admin/command" // A change of the programs has to outdate the cached result.
 	"filbertturn.example/filbertturn/internal/admin/message"
 	"filbertturn.example/filbertturn/internal/config/document"
 	"filbertturn.example/filbertturn/internal/config/set"
