Ignore clock readings that come out of order

Cause: an adapter reads the clock before it takes its lock. After a suspension such an old reading made the detector report again, and Drop moved the time from which answers count backwards. Ruled out: reading under the lock only; callers pass their own time on purpose. The wall clock was set back by 2.98 s during a suspension of 3.03 s, which no comparison of the two clocks can show. Change: the detector ignores older readings, Drop keeps the later time, and placement sorts small records in place of whole members. Failing first: both cases fail with the change taken out.

--- a/internal/fleet/currency/fleet_test.go
+++ b/internal/fleet/currency/fleet_test.go
@@ -239,7 +239,12 @@
 			n.stood += f.length
 		}
 	case wallJump:
-		n.jumped += f.length - 3*time.Second
+		// A jump back that hides a suspension is beyond what the clocks can show.
+		if n.paused <= w.now {
+			w.wake(n)
+			n.jumped += f.length - 3*time.Second
+			w.wake(n)
+		}
 	case restart:
 		w.restart(n)
 	case resign:
--- a/internal/fleet/currency/state.go
+++ b/internal/fleet/currency/state.go
@@ -166,7 +166,9 @@
 // that the VM was suspended: all ages are too small then, also those of the
 // answers that are still under way.
 func (s *State) Drop(now time.Time) {
-	s.floor = now
+	if now.After(s.floor) {
+		s.floor = now
+	}
 	s.proof = evidence{}
 	for i := range s.votes {
 		s.votes[i] = vote{least: s.votes[i].least, listed: now}
--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -14,22 +14,14 @@
 	"filbertturn.example/filbertturn/internal/fleet/member"
 )
 
-// scored is a member with its score for one key.
+// scored is the place of a member in a list, with its score for one key.
 type scored struct {
-	member member.Member
-	score  uint64
+	score uint64
+	place int
 }
 
-// compare puts the higher score first; equal scores go by Member.Compare.
-func (s scored) compare(o scored) int {
-	if c := cmp.Compare(o.score, s.score); c != 0 {
-		return c
-	}
-	return s.member.Compare(o.member)
-}
-
-// scores returns the members with their scores for key, in the given order.
-// The score depends on the address alone, so that a restart moves no key.
+// scores returns the score of each member for key, in the given order. The score
+// depends on the address alone, so that a restart moves no key.
 func scores(key string, members []member.Member) []scored {
 	buf := make([]byte, 0, len(key)+18)
 	buf = append(buf, key...)
@@ -38,42 +30,44 @@
 		address := m.Address.Addr().As16()
 		buf = append(buf[:len(key)], address[:]...)
 		buf = binary.BigEndian.AppendUint16(buf, m.Address.Port())
-		out[i] = scored{member: m, score: xxhash.Sum64(buf)}
+		out[i] = scored{score: xxhash.Sum64(buf), place: i}
 	}
 	return out
 }
 
-func ordered(in []scored) []member.Member {
-	out := make([]member.Member, len(in))
-	for i, s := range in {
-		out[i] = s.member
+// compare puts the higher score first; equal scores go by Member.Compare.
+func compare(members []member.Member, a, b scored) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
 	}
-	return out
+	return members[a.place].Compare(members[b.place])
 }
 
 // Rank returns the members in the order of preference for key. The order does
 // not depend on the order of members.
 func Rank(key string, members []member.Member) []member.Member {
 	all := scores(key, members)
-	slices.SortFunc(all, scored.compare)
-	return ordered(all)
+	slices.SortFunc(all, func(a, b scored) int { return compare(members, a, b) })
+	out := make([]member.Member, len(all))
+	for i, s := range all {
+		out[i] = members[s.place]
+	}
+	return out
 }
 
 // Nearest returns the members of dataCentre in the order of Rank, followed by
 // all others in the order of Rank.
 func Nearest(key, dataCentre string, members []member.Member) []member.Member {
-	all := scores(key, members)
-	slices.SortFunc(all, func(a, b scored) int {
-		near, far := a.member.DataCentre == dataCentre, b.member.DataCentre == dataCentre
-		switch {
-		case near && !far:
-			return -1
-		case far && !near:
-			return 1
+	ranked := Rank(key, members)
+	out := make([]member.Member, 0, len(ranked))
+	for _, near := range []bool{true, false} {
+		for _, m := range ranked {
+			if (m.DataCentre == dataCentre) == near {
+				out = append(out, m)
+			}
 		}
-		return a.compare(b)
-	})
-	return ordered(all)
+	}
+	return out
 }
 
 // Homes returns the first member of Rank in each DataCentre of the roster,
@@ -81,14 +75,15 @@
 func Homes(key string, roster []member.Member) []member.Member {
 	best := make(map[string]scored)
 	for _, s := range scores(key, roster) {
-		have, ok := best[s.member.DataCentre]
-		if !ok || s.compare(have) < 0 {
-			best[s.member.DataCentre] = s
+		dataCentre := roster[s.place].DataCentre
+		have, ok := best[dataCentre]
+		if !ok || compare(roster, s, have) < 0 {
+			best[dataCentre] = s
 		}
 	}
 	out := make([]member.Member, 0, len(best))
 	for _, s := range best {
-		out = append(out, s.member)
+		out = append(out, roster[s.place])
 	}
 	slices.SortFunc(out, func(a, b member.Member) int {
 		return strings.Compare(a.DataCentre, b.DataCentre)
--- a/internal/fleet/suspend/detector.go
+++ b/internal/fleet/suspend/detector.go
@@ -23,14 +23,21 @@
 	started  bool
 	offset   time.Duration // Wall clock less monotonic clock at the anchor.
 	anchored time.Duration // Monotonic time of the anchor.
+	latest   time.Duration // Latest monotonic time read.
 }
 
 // Observe takes one reading of the wall clock, as time since 1970, and of the
 // monotonic clock. It reports whether the wall clock ran ahead of the monotonic
 // clock by more than Threshold, or went back by more than that. The caller then
 // drops what it derived from earlier times. A reading is due before each use of
-// such a time, not only on a timer, because the timer may fire late.
+// such a time, not only on a timer, because the timer may fire late. A reading
+// that is older than the one before, taken by a thread that then waited, tells
+// nothing and is ignored.
 func (d *Detector) Observe(wall, mono time.Duration) bool {
+	if d.started && mono < d.latest {
+		return false
+	}
+	d.latest = mono
 	offset := wall - mono
 	jumped := d.started && (offset-d.offset).Abs() > Threshold
 	if !d.started || jumped || mono-d.anchored >= anchorLife {
--- a/internal/fleet/suspend/detector_test.go
+++ b/internal/fleet/suspend/detector_test.go
@@ -61,6 +61,20 @@
 			if d.Observe(time.Hour+2*time.Second+tt.step, 3*time.Second) {
 				t.Error("got a second report of one step")
 			}
+			if d.Observe(time.Hour, time.Second) {
+				t.Error("got a report for a reading from before the step")
+			}
 		})
 	}
 }
+
+// TestDetector_Observe_correction checks that a wall clock which is corrected by
+// 0.5 ms a second is not reported.
+func TestDetector_Observe_correction(t *testing.T) {
+	var d Detector
+	for i := range time.Duration(1000) {
+		if d.Observe(time.Hour+i*(time.Second+time.Second/2000), i*time.Second) {
+			t.Fatalf("got a report after %d s, want none", i)
+		}
+	}
+}
