--- a/internal/health/evidence/ledger.go
+++ b/internal/health/evidence/ledger.go
@@ -14,6 +14,7 @@
 // Timing of reports and bounds of the evidence.
 const (
 	ReportInterval = 250 * time.Millisecond // Between reports that carry samples.
+	SuspectReport  = 100 * time.Millisecond // Between reports on a suspect.
 	UrgentInterval = 50 * time.Millisecond  // Between reports that carry a fault.
 	IdleInterval   = time.Second            // Longest time between reports.
 	LateTolerance  = 50 * time.Millisecond  // Lateness of a timer that Late ignores.
@@ -193,6 +194,8 @@
 		switch {
 		case s.fault || l.hasOverdue(now, s):
 			wait = min(wait, UrgentInterval)
+		case len(s.samples) > 0 && now.Before(s.suspect):
+			wait = min(wait, SuspectReport)
 		case len(s.samples) > 0:
 			wait = min(wait, ReportInterval)
 		}
--- a/internal/health/referee/baseline.go
+++ b/internal/health/referee/baseline.go
@@ -11,13 +11,15 @@
 // Parameters of the baselines.
 const (
 	refreshInterval = 100 * time.Millisecond
-	slowDecay       = 30 * time.Second // Time constant of the usual latency.
-	fastDecay       = time.Second      // Time constant of the present latency.
-	rateDecay       = 10 * time.Second // Time constant of failure rates.
+	slowDecay       = 30 * time.Second       // Time constant of the usual latency.
+	fastDecay       = 500 * time.Millisecond // Time constant of the present latency.
+	rateDecay       = 10 * time.Second       // Time constant of the usual failure rate.
+	quickDecay      = time.Second            // Time constant of the present failure rate.
 
-	minUsual    = 3.0 // Samples needed for a backend server's usual latency.
-	minRecent   = 0.3 // Samples needed for its present latency.
-	minCompared = 3   // Backend servers needed for a route's present shift.
+	rateMargin  = 1.25 // Allowance for the error of a failure rate's estimate.
+	minUsual    = 3.0  // Samples needed for a backend server's usual latency.
+	minRecent   = 0.3  // Samples needed for its present latency.
+	minCompared = 3    // Backend servers needed for a route's present shift.
 
 	minSigma     = 0.4
 	maxSigma     = 0.9
@@ -65,12 +67,6 @@
 	sigma float64
 }
 
-// baseline is what the backend servers of the pool have in common now.
-type baseline struct {
-	at    time.Time
-	shift ordered
-}
-
 // ordered is a sorted list of values of several backend servers.
 type ordered []float64
 
@@ -138,24 +134,18 @@
 
 // refresh recomputes the baselines from the backend servers in full service.
 func (r *Referee) refresh(now time.Time) {
-	if !r.pool.at.IsZero() && now.Sub(r.pool.at) < refreshInterval {
+	if !r.refreshed.IsZero() && now.Sub(r.refreshed) < refreshInterval {
 		return
 	}
-	r.pool.at = now
+	r.refreshed = now
 	for i, c := range r.routes {
 		r.refreshRoute(now, i, c)
 	}
-	r.pool.shift = r.pool.shift[:0]
 	for _, s := range r.servers {
 		s.recent.add(now, fastDecay, 0, 0, 0)
-		s.total.add(now, rateDecay, 0, 0, 0)
-		s.wrongs.add(now, rateDecay, 0, 0, 0)
-		if s.stage == inService && s.recent.n >= minRecent {
-			s.shift = s.recent.mean()
-			r.pool.shift = append(r.pool.shift, s.shift)
-		}
+		s.failed.add(now, 0, 0)
+		s.wrongs.add(now, 0, 0)
 	}
-	slices.Sort(r.pool.shift)
 }
 
 func (r *Referee) refreshRoute(now time.Time, i int, c *route) {
@@ -177,13 +167,13 @@
 	}
 	slices.Sort(c.level)
 	slices.Sort(sigmas)
-	if middle, n := sigmas.without(0, false); n > 0 {
-		c.sigma = min(max(middle, minSigma), maxSigma)
+	if len(sigmas) > 0 {
+		c.sigma = min(max(sigmas.middle(), minSigma), maxSigma)
 	}
-	middle, n := c.level.without(0, false)
-	if n == 0 {
+	if len(c.level) == 0 {
 		return
 	}
+	middle := c.level.middle()
 	for _, s := range r.servers {
 		if s.stage == inService && i < len(s.tracks) && s.tracks[i].recent.n >= minRecent {
 			t := &s.tracks[i]
@@ -194,8 +184,9 @@
 	slices.Sort(c.shift)
 }
 
-// base returns the latency on a route that the other backend servers have at
-// present, or had usually if that is higher, and false without a baseline.
+// base returns the usual latency of the other backend servers on a route,
+// raised by what the route alone has become slower in the whole pool. It
+// returns false without a baseline.
 func (r *Referee) base(s *server, i int) (float64, bool) {
 	c, t := r.routes[i], s.track(i)
 	in := s.stage == inService
@@ -203,43 +194,83 @@
 	if n == 0 {
 		return 0, false
 	}
-	common, _ := r.pool.shift.without(s.shift, in && s.recent.n >= minRecent)
 	special, n := c.shift.without(t.shift, in && t.recent.n >= minRecent)
 	if n < minCompared {
-		special = 0
+		return level, true
+	}
+	return level + max(0, special-r.common(s)), true
+}
+
+// common returns by how much the other backend servers have become slower on
+// all routes.
+func (r *Referee) common(s *server) float64 {
+	shifts := make(ordered, 0, len(r.servers))
+	for _, o := range r.servers {
+		if o != s && o.stage == inService && o.recent.n >= minRecent {
+			shifts = append(shifts, o.recent.mean())
+		}
 	}
-	return level + max(0, common, special), true
+	return max(0, shifts.trimmed())
 }
 
 // baselines returns the usual latencies for the owners.
 func (r *Referee) baselines() []report.Baseline {
 	var out []report.Baseline
 	for _, c := range r.routes {
-		if level, n := c.level.without(0, false); n > 0 {
-			out = append(out, report.Baseline{Route: c.name, Median: level, Sigma: c.sigma})
+		if len(c.level) > 0 {
+			out = append(out, report.Baseline{Route: c.name, Median: c.level.middle(), Sigma: c.sigma})
 		}
 	}
 	return out
 }
 
-// othersRate returns the mean rate of the other backend servers in full
-// service, without the worst quarter of them, so that a few faulty ones do not
-// excuse one another.
-func (r *Referee) othersRate(s *server, pick func(*server) *decayed) float64 {
-	var rates ordered
+// rate is a failure rate over two time constants.
+type rate struct {
+	usual, present decayed
+}
+
+// add counts events and failures among them.
+func (f *rate) add(now time.Time, events, failures int) {
+	f.usual.add(now, rateDecay, float64(events), float64(failures), 0)
+	f.present.add(now, quickDecay, float64(events), float64(failures), 0)
+}
+
+// othersRate returns the failure rate of the other backend servers in full
+// service, the usual or the present one, whichever is higher.
+func (r *Referee) othersRate(s *server, pick func(*server) *rate) float64 {
+	usual, present := make(ordered, 0, len(r.servers)), make(ordered, 0, len(r.servers))
 	for _, o := range r.servers {
-		if o != s && o.stage == inService && pick(o).n >= 1 {
-			rates = append(rates, pick(o).mean())
+		if o == s || o.stage != inService {
+			continue
+		}
+		f := pick(o)
+		if f.usual.n >= 1 {
+			usual = append(usual, f.usual.mean())
 		}
+		if f.present.n >= 1 {
+			present = append(present, f.present.mean())
+		}
+	}
+	return rateMargin * max(usual.trimmed(), usual.middle(), present.trimmed(), present.middle())
+}
+
+// middle returns the median of the sorted values.
+func (o ordered) middle() float64 {
+	m, _ := o.without(0, false)
+	return m
+}
+
+// trimmed sorts the values and returns their mean without the highest quarter,
+// so that a few faulty backend servers do not excuse one another.
+func (o ordered) trimmed() float64 {
+	slices.Sort(o)
+	o = o[:len(o)-len(o)/4]
+	if len(o) == 0 {
+		return 0
 	}
-	slices.Sort(rates)
-	rates = rates[:len(rates)-len(rates)/4]
 	sum := 0.0
-	for _, v := range rates {
+	for _, v := range o {
 		sum += v
 	}
-	if len(rates) == 0 {
-		return 0
-	}
-	return sum / float64(len(rates))
+	return sum / float64(len(o))
 }
--- a/internal/health/referee/bench_test.go
+++ b/internal/health/referee/bench_test.go
@@ -45,16 +45,16 @@
 	sigma    float64
 	pause    time.Duration // Owner 0 is frozen for so long every 10 s.
 	handover bool          // Backend server 0 is to be handed over.
+	target   bool          // The median detection time has a target.
+	returns  bool          // All are to be in full service at the end.
 }
 
 type outcome struct {
 	detected             time.Duration // Zero without a detection.
 	falsely, rowFalsely  int           // Ejections of backend servers without a fault.
 	rowDetected          time.Duration // Of the baseline policy.
-	handedOver           bool
+	handedOver, restored bool
 	serverHours          float64
-	requests, rowInARow  int
-	reports, reportBytes int
 }
 
 type event struct {
@@ -118,6 +118,10 @@
 		b.now = e.at
 		e.do()
 	}
+	b.out.restored = true
+	for _, t := range b.targets {
+		b.out.restored = b.out.restored && b.nodes[t.owner].book.Allowed(b.now, t.addr) == 1
+	}
 	b.out.serverHours = sc.length.Hours() * poolSize
 	return b.out
 }
@@ -154,7 +158,6 @@
 	pick := b.rng.Float64() * sum
 	for i, w := range weights {
 		if pick -= w; pick < 0 {
-			b.out.requests++
 			b.send(i, route)
 			break
 		}
@@ -175,7 +178,8 @@
 	if route == "heavy" {
 		latency *= 20
 	}
-	failed, wrong := b.rng.Float64() < a.fail && !(probe && a.spareProbes), b.rng.Float64() < a.wrong
+	failed, wrong := b.rng.Float64() < a.fail, b.rng.Float64() < a.wrong
+	failed = failed && (!probe || !a.spareProbes)
 	refused := a.refuses == -1 || a.refuses == t.owner+1
 	switch {
 	case refused:
@@ -297,8 +301,6 @@
 	if err != nil {
 		panic(err)
 	}
-	b.out.reports++
-	b.out.reportBytes += len(bytes)
 	p, _ := report.DecodeReport(bytes)
 	b.home.Submit(b.now, n.member, p)
 	for _, r := range b.home.Rule(b.now) {
--- a/internal/health/referee/referee.go
+++ b/internal/health/referee/referee.go
@@ -39,11 +39,11 @@
 	Epoch uint64 // Reports of other epochs are dropped.
 	Term  uint64 // Incarnation of the home, which marks its stamps.
 
-	started time.Time // First call.
-	owners  []*owner  // Ordered by member.
-	servers []*server // Ordered by address.
-	routes  []*route  // Route classes with a baseline.
-	pool    baseline
+	started   time.Time // First call.
+	owners    []*owner  // Ordered by member.
+	servers   []*server // Ordered by address.
+	routes    []*route  // Route classes with a baseline.
+	refreshed time.Time // When the baselines were computed.
 }
 
 // owner is a node that reports on backend servers of the pool.
@@ -98,10 +98,10 @@
 
 // Suspects returns the backend servers with some evidence against them, and
 // those that are not in full service.
-func (r *Referee) Suspects() []netip.AddrPort {
+func (r *Referee) Suspects(now time.Time) []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, s := range r.servers {
-		if r.suspect(s) {
+		if r.suspect(now, s) {
 			out = append(out, s.address)
 		}
 	}
@@ -142,7 +142,7 @@
 			a.Verdicts = append(a.Verdicts, report.Handover{Address: s.address, To: v.next})
 		case slices.Contains(kept, s):
 			a.Verdicts = append(a.Verdicts, s.grant(now))
-		case r.suspect(s):
+		case r.suspect(now, s):
 			a.Verdicts = append(a.Verdicts, report.Suspicion{Address: s.address})
 		}
 	}
--- a/internal/health/referee/score.go
+++ b/internal/health/referee/score.go
@@ -17,15 +17,19 @@
 const (
 	slowFactor   = 3.0  // A backend server at fault is this much slower,
 	faultRate    = 0.3  // fails at least this share of its requests,
-	healthyRate  = 2e-3 // and a healthy one fails so many,
-	healthyWrong = 5e-5 // answers so many wrongly,
-	refusedRate  = 0.5  // and refuses so many connections when it is cut off.
+	healthyRate  = 2e-3 // while a healthy one fails so many
+	healthyWrong = 5e-5 // and answers so many wrongly.
 
 	maxGain      = 4.5  // Evidence of one latency at most.
 	maxRate      = 0.8  // Highest failure rate taken for the pool's own.
 	scoreBound   = 1.25 // Scores rise to this times the threshold.
 	suspectScore = 3.0
-	badGain      = 2.0 // Evidence of one report that interrupts a run of good ones.
+
+	// minSpan is how long evidence has to go on before an ejection, so that
+	// reports of the same fault on the rest of the pool come in.
+	minSpan = 500 * time.Millisecond
+
+	badGain = 2.0 // Evidence of one report that interrupts a run of good ones.
 
 	// WarmUp is the time after the start of a backend server in which its
 	// latency counts neither for nor against it. After that its allowance
@@ -34,18 +38,62 @@
 	warmAllowance = 2.0 // Logarithm.
 )
 
-// scores are the cumulative sums of evidence that a backend server is slow,
-// fails, or answers wrongly. None falls under zero.
+// scores are the evidence that a backend server is slow, fails, fails at
+// callers' requests, since a health endpoint may work where they do not, or
+// answers wrongly.
 type scores struct {
-	slow, fail, wrong float64
+	slow, fail, requests, wrong excursion
+}
+
+// excursion is a cumulative sum of evidence since it was last zero, as the
+// logarithm of a likelihood ratio. It keeps the observations apart from their
+// weights, because the weights depend on the rest of the pool: when a fault
+// strikes the whole pool, the first reports of it are weighed anew as those of
+// the other backend servers come in.
+type excursion struct {
+	prior     float64 // Evidence at the start.
+	bad, good float64 // Observations.
+	score     float64
+	since     time.Time // Start.
+}
+
+// weigh adds observations and weighs all of them. A score that is not positive
+// starts anew from zero, and one over the bound shrinks to it.
+func (e *excursion) weigh(now time.Time, bad, good float64, w weights, bound float64) {
+	if e.score == 0 {
+		e.since = now
+	}
+	e.bad, e.good = e.bad+bad, e.good+good
+	e.score = e.prior + e.bad*w.bad + e.good*w.good
+	switch {
+	case e.score <= 0:
+		*e = excursion{}
+	case e.score > bound:
+		f := bound / e.score
+		e.prior, e.bad, e.good, e.score = e.prior*f, e.bad*f, e.good*f, bound
+	}
+}
+
+// weights are the evidence of one observation for and against a backend server.
+type weights struct {
+	bad, good float64
+}
+
+// rateWeights returns the weights of failures and successes, when a healthy
+// backend server fails at the rate p0.
+func rateWeights(p0 float64) weights {
+	p0 = min(p0, maxRate)
+	p1 := faultRate + (1-faultRate)*p0
+	return weights{bad: math.Log(p1 / p0), good: math.Log((1 - p1) / (1 - p0))}
 }
 
 // tally counts what one report says of a backend server.
 type tally struct {
-	count, ok, failed, refused   int
-	probed, wrong                int
-	overdue                      int
-	slowGain, deviation, matched float64
+	count, ok, failed, refused int
+	probed, probeFailed, wrong int
+	overdue                    int
+	matched, deviation         float64 // Latencies with a baseline, and the sum of their deviations.
+	slow, scale                float64 // Observations for the score.
 }
 
 // score adds the evidence of a report.
@@ -58,24 +106,31 @@
 		return
 	}
 	s.recent.add(now, fastDecay, t.matched, t.deviation, 0)
-	p0 := min(max(healthyRate, r.othersRate(s, (*server).failures)), maxRate)
-	w0 := min(max(healthyWrong, r.othersRate(s, (*server).wrongAnswers)), maxRate)
-	bound := r.threshold() * scoreBound
-	failGain := ratio(t.failed, t.ok, p0, faultRate+(1-faultRate)*p0)
-	wrongGain := ratio(t.wrong, t.probed, w0, faultRate+(1-faultRate)*w0)
-	s.scores.slow = min(max(s.scores.slow+t.slowGain, 0), bound)
-	s.scores.fail = min(max(s.scores.fail+failGain, 0), bound)
-	s.scores.wrong = min(max(s.scores.wrong+wrongGain, 0), bound)
-	v.connect = min(max(v.connect+ratio(t.refused, t.count-t.refused, healthyRate, refusedRate), 0), bound)
-	s.total.add(now, rateDecay, float64(t.ok+t.failed), float64(t.failed), 0)
-	s.wrongs.add(now, rateDecay, float64(t.probed+t.wrong), float64(t.wrong), 0)
-	if t.failed+t.wrong+t.refused+t.overdue > 0 || t.slowGain > badGain {
+	s.failed.add(now, t.ok+t.failed, t.failed)
+	s.wrongs.add(now, t.probed+t.wrong, t.wrong)
+	before := s.scores.slow.score
+	r.weigh(now, s, &t)
+	connect := rateWeights(healthyRate)
+	v.connect = min(max(v.connect+float64(t.refused)*connect.bad+float64(t.count-t.refused)*connect.good, 0), r.threshold()*scoreBound)
+	if t.failed+t.wrong+t.refused+t.overdue > 0 || s.scores.slow.score-before > badGain {
 		s.good = 0
 	} else {
 		s.good += t.count
 	}
 }
 
+// weigh adds a tally to the scores and weighs them against the pool as it is now.
+func (r *Referee) weigh(now time.Time, s *server, t *tally) {
+	bound := r.threshold() * scoreBound
+	fail := rateWeights(max(healthyRate, r.othersRate(s, (*server).failures)))
+	wrong := rateWeights(max(healthyWrong, r.othersRate(s, (*server).wrongAnswers)))
+	slow := weights{bad: 1, good: -r.common(s) - math.Log(slowFactor)/2}
+	s.scores.slow.weigh(now, t.slow, t.scale, slow, bound)
+	s.scores.fail.weigh(now, float64(t.failed), float64(t.ok), fail, bound)
+	s.scores.requests.weigh(now, float64(t.failed-t.probeFailed), float64(t.ok-t.probed), fail, bound)
+	s.scores.wrong.weigh(now, float64(t.wrong), float64(t.probed), wrong, bound)
+}
+
 // count adds one sample to the tally, and its latency to the baselines.
 func (r *Referee) count(now time.Time, s *server, p *report.Server, m *report.Sample, t *tally) {
 	ok := max(m.Count-m.Connect-m.Failures()-m.Wrong-m.Overdue, 0)
@@ -87,6 +142,7 @@
 	t.overdue += m.Overdue
 	if m.Route == report.ProbeRoute {
 		t.probed += ok
+		t.probeFailed += m.Failures()
 	}
 	if m.Answered == 0 || p.State != report.Ready || p.ReadyFor < WarmUp {
 		return
@@ -100,9 +156,8 @@
 	if base, known := r.base(s, i); known {
 		sum = min(sum, n*(base+math.Log(evidence.OverdueFactor)))
 		allowed := base + warmAllowance*max(0, 1-float64(p.ReadyFor-WarmUp)/float64(WarmUp))
-		t.slowGain += r.slowGain(i, n, sum-n*allowed)
-		level, _ := r.routes[i].level.without(0, false)
-		t.deviation += sum - n*level
+		r.compare(i, n, sum-n*allowed, t)
+		t.deviation += sum - n*r.routes[i].level.middle()
 		t.matched += n
 	}
 	k := s.track(i)
@@ -110,22 +165,18 @@
 	k.recent.add(now, fastDecay, n, sum, 0)
 }
 
-// slowGain returns the evidence of n latencies whose logarithms exceed the
-// baseline by excess in total, for normal distributions of the logarithm.
-func (r *Referee) slowGain(i int, n, excess float64) float64 {
-	shift := math.Log(slowFactor)
-	sigma := r.routes[i].sigma
-	return min(shift/(sigma*sigma)*(excess-n*shift/2), n*maxGain)
+// compare adds n latencies to the tally whose logarithms exceed the baseline
+// by excess in total. Their evidence that the backend server is slowFactor
+// times slower is that of normal distributions of the logarithm.
+func (r *Referee) compare(i int, n, excess float64, t *tally) {
+	shift, sigma := math.Log(slowFactor), r.routes[i].sigma
+	scale := shift / (sigma * sigma)
+	t.slow += min(scale*excess, n*(maxGain+scale*shift/2))
+	t.scale += n * scale
 }
 
-// ratio returns the logarithm of the likelihood ratio of failures and
-// successes, for a failure rate of p1 against p0.
-func ratio(failed, ok int, p0, p1 float64) float64 {
-	return float64(failed)*math.Log(p1/p0) + float64(ok)*math.Log((1-p1)/(1-p0))
-}
-
-func (s *server) failures() *decayed     { return &s.total }
-func (s *server) wrongAnswers() *decayed { return &s.wrongs }
+func (s *server) failures() *rate     { return &s.failed }
+func (s *server) wrongAnswers() *rate { return &s.wrongs }
 
 func (r *Referee) threshold() float64 {
 	if r.Pool.Threshold > 0 {
@@ -134,61 +185,69 @@
 	return DefaultThreshold
 }
 
-// lead returns how far the highest score of a backend server exceeds the
-// median of the others, and what that score says. Scores that rise in the
-// whole pool are not the fault of one.
-func (r *Referee) lead(s *server) (float64, report.Reason) {
+// lead returns how far the highest score of a backend server exceeds those of
+// the others, and what that score says. Scores that rise in the whole pool are
+// not the fault of one. Evidence that began after since is left out.
+func (r *Referee) lead(s *server, since time.Time) (float64, report.Reason) {
 	lead, reason := 0.0, report.Reason(0)
 	for _, k := range []struct {
 		reason report.Reason
-		pick   func(*server) float64
+		pick   func(*server) *excursion
 	}{
-		{report.Wrong, func(s *server) float64 { return s.scores.wrong }},
-		{report.Failing, func(s *server) float64 { return s.scores.fail }},
-		{report.Slow, func(s *server) float64 { return s.scores.slow }},
+		{report.Wrong, func(s *server) *excursion { return &s.scores.wrong }},
+		{report.Failing, func(s *server) *excursion { return &s.scores.fail }},
+		{report.Failing, func(s *server) *excursion { return &s.scores.requests }},
+		{report.Slow, func(s *server) *excursion { return &s.scores.slow }},
 	} {
-		if l := k.pick(s); l > lead {
-			if l -= r.others(s, k.pick); l > lead {
-				lead, reason = l, k.reason
-			}
+		e := k.pick(s)
+		if e.score <= lead || e.since.After(since) {
+			continue
+		}
+		if l := e.score - r.others(s, k.pick); l > lead {
+			lead, reason = l, k.reason
 		}
 	}
 	return lead, reason
 }
 
-// others returns the median score of the other backend servers in full service.
-func (r *Referee) others(s *server, pick func(*server) float64) float64 {
+// others returns the score that others in full service may have while nothing
+// is wrong with one of them: their median and twice its median deviation.
+func (r *Referee) others(s *server, pick func(*server) *excursion) float64 {
 	var values ordered
 	for _, o := range r.servers {
 		if o != s && o.stage == inService && len(o.views) > 0 {
-			values = append(values, pick(o))
+			values = append(values, pick(o).score)
 		}
 	}
 	slices.Sort(values)
-	middle, _ := values.without(0, false)
-	return middle
+	middle := values.middle()
+	for i, v := range values {
+		values[i] = math.Abs(v - middle)
+	}
+	slices.Sort(values)
+	return middle + 2*values.middle()
 }
 
 // guilty returns what a backend server is to be ejected for, if anything.
-func (r *Referee) guilty(s *server) (report.Reason, bool) {
+func (r *Referee) guilty(now time.Time, s *server) (report.Reason, bool) {
 	if s.unreachable {
 		return report.Unreachable, true
 	}
 	if s.scores.highest() < r.threshold() {
 		return 0, false
 	}
-	lead, reason := r.lead(s)
+	lead, reason := r.lead(s, now.Add(-minSpan))
 	return reason, lead >= r.threshold()
 }
 
 // suspect tells whether a backend server is to be probed more often.
-func (r *Referee) suspect(s *server) bool {
+func (r *Referee) suspect(now time.Time, s *server) bool {
 	if s.stage != inService || s.unreachable {
 		return true
 	}
 	if s.scores.highest() < suspectScore {
 		return false
 	}
-	lead, _ := r.lead(s)
+	lead, _ := r.lead(s, now)
 	return lead >= suspectScore
 }
--- a/internal/health/referee/server.go
+++ b/internal/health/referee/server.go
@@ -28,9 +28,8 @@
 	scores scores
 	tracks []track // By index of route.
 	recent decayed // Deviations from the baselines, over all routes.
-	shift  float64 // Mean of recent that the pool's baseline counts.
-	total  decayed // Requests of the last seconds; the sum counts the failed ones.
-	wrongs decayed // Probes of the last seconds; the sum counts the wrong ones.
+	failed rate    // Failures among requests and probes.
+	wrongs rate    // Wrong answers among probes.
 
 	stage       stage
 	reason      report.Reason
@@ -74,7 +73,7 @@
 // restart forgets the evidence against an earlier run of the backend server.
 func (s *server) restart() {
 	s.stage, s.scores, s.good, s.tracks, s.cuts = inService, scores{}, 0, nil, nil
-	s.recent, s.total, s.wrongs = decayed{}, decayed{}, decayed{}
+	s.recent, s.failed, s.wrongs = decayed{}, rate{}, rate{}
 }
 
 // dropViews removes the sender's views of backend servers that it no longer owns.
--- a/internal/health/referee/stage.go
+++ b/internal/health/referee/stage.go
@@ -24,6 +24,9 @@
 
 // advance moves a backend server on through its stages.
 func (r *Referee) advance(now time.Time, s *server) {
+	if s.scores.highest() >= suspectScore {
+		r.weigh(now, s, &tally{})
+	}
 	switch s.stage {
 	case inService:
 		if s.flaps > 0 && now.Sub(s.since) >= flapDecay {
@@ -33,8 +36,8 @@
 	case ejected:
 		if !now.Before(s.until) && s.good >= goodRun && !s.unreachable {
 			s.stage, s.since, s.weight, s.good = onProbation, now, firstWeight, 0
-			prior := r.threshold() * priorScore
-			s.scores = scores{slow: prior, fail: prior, wrong: prior}
+			prior := excursion{prior: r.threshold() * priorScore, score: r.threshold() * priorScore, since: now}
+			s.scores = scores{slow: prior, fail: prior, requests: prior, wrong: prior}
 		}
 	case onProbation:
 		r.advanceProbation(now, s)
@@ -42,7 +45,7 @@
 }
 
 func (r *Referee) advanceProbation(now time.Time, s *server) {
-	if reason, guilty := r.guilty(s); guilty {
+	if reason, guilty := r.guilty(now, s); guilty {
 		s.eject(now, reason)
 		return
 	}
@@ -96,7 +99,7 @@
 		}
 		if s.stage != inService {
 			wanted = append(wanted, s)
-		} else if reason, guilty := r.guilty(s); guilty {
+		} else if reason, guilty := r.guilty(now, s); guilty {
 			s.reason = reason
 			wanted = append(wanted, s)
 		}
@@ -135,4 +138,6 @@
 	return 1
 }
 
-func (s scores) highest() float64 { return max(s.slow, s.fail, s.wrong) }
+func (s scores) highest() float64 {
+	return max(s.slow.score, s.fail.score, s.requests.score, s.wrong.score)
+}
