Let schedules hand the roster to one side of a partition

Ruled out: more plans; the fault needs a partition, a cut and two heads at once. Change: a fault that makes these together.

--- a/internal/fleet/currency/fleet_test.go
+++ b/internal/fleet/currency/fleet_test.go
@@ -42,6 +42,7 @@
 	wallJump
 	restart
 	resign
+	handover // A side takes over the roster while the other reaches neither it nor the store.
 	publish
 	edit
 	kinds
@@ -252,6 +253,11 @@
 			n.state.Resign(w.wake(n))
 			w.ended[n.state.Self()] = true
 		}
+	case handover:
+		w.begin(fault{kind: partition, length: f.length, mask: f.mask})
+		w.begin(fault{kind: storeCut, length: f.length, mask: ^f.mask})
+		w.begin(fault{kind: edit, node: f.node, mask: f.mask})
+		w.begin(fault{kind: publish, node: f.node})
 	default:
 		change := succession.Change{Revision: w.store().Revision + 1}
 		if f.kind != publish {
