--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -15,8 +16,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(storeCommand(), backendCommand(), loadCommand(), measureCommand(), demoCommand())
-	if err := root.Execute(); err != nil {
+	root.AddCommand(storeCommand(), backendCommand(), loadCommand(), measureCommand(), demoCommand(), capacityCommand())
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"filbertturn.example/filbertturn/internal/standin/comparison"
 	"filbertturn.example/filbertturn/internal/standin/load"
 	"filbertturn.example/filbertturn/internal/standin/measure"
 	"filbertturn.example/filbertturn/internal/standin/process"
@@ -46,6 +47,7 @@
 // TestLoad runs backend servers and load as processes: one of three backend
 // servers fails, and a balancer that ejects stops using it.
 func TestLoad(t *testing.T) {
+	t.Parallel()
 	servers, err := process.Start(os.Args[0], "backend", "--count", "3", "--linger", "10ms")
 	if err != nil {
 		t.Fatal(err)
@@ -91,3 +93,28 @@
 		t.Error("got backend servers that run on after a signal to end")
 	}
 }
+
+// TestMeasure runs one scenario with a balancer, from the start of the
+// processes to the rows.
+func TestMeasure(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "rows.json")
+	run := exec.Command(os.Args[0], "measure", "--policy", "round-robin", "--seeds", "1", "--deployment", "sfax",
+		"--scenario", "half starts cold", "--json", file)
+	if out, err := run.CombinedOutput(); err != nil {
+		t.Fatalf("got %v: %s", err, out)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var row comparison.Row
+	if err := json.Unmarshal(text, &row); err != nil {
+		t.Fatal(err)
+	}
+	// All of the 330 requests expected are answered, most of them after half of
+	// the pool has joined cold.
+	if row.Runs != 1 || row.Sent < 230 || row.Sent > 430 || row.Results[load.Done] != row.Sent || row.P99.Max < 0.075 {
+		t.Errorf("got %+v, want one run of about 330 requests, all done, some on cold backend servers", row)
+	}
+}
--- a/internal/check/fleet/fixture_test.go
+++ b/internal/check/fleet/fixture_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -239,11 +240,16 @@
 	return f.admin(node).Publish(ctx, message.Publish{Base: current.Revision, PublishID: fmt.Sprint(time.Now().UnixNano()), Set: text})
 }
 
+// awaitCurrent waits until a node serves callers. It opens their address last.
 func (f *fixture) awaitCurrent(node int) {
 	f.t.Helper()
 	for started := time.Now(); time.Since(started) < 15*time.Second; time.Sleep(50 * time.Millisecond) {
 		s, err := f.admin(node).Status(context.Background())
-		if err == nil && s.Current && s.Revision > 0 && s.Owners >= nodes-1 {
+		if err != nil || !s.Current || s.Revision == 0 || s.Owners < nodes-1 {
+			continue
+		}
+		if conn, err := net.Dial("tcp", f.Callers[node].String()); err == nil {
+			_ = conn.Close()
 			return
 		}
 	}
--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -29,9 +29,9 @@
 
 const (
 	shardCount    = 16
-	idleInterval  = 20 * time.Millisecond
+	idleInterval  = 40 * time.Millisecond
 	trimInterval  = time.Second
-	forceInterval = 50 * time.Millisecond
+	forceInterval = 100 * time.Millisecond
 	maxRounds     = 8 // Asks that one request may wait for.
 )
 
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -38,7 +38,9 @@
 	peerTimeout     = time.Second
 	storeTimeout    = time.Second
 	liveAfter       = 1500 * time.Millisecond // Silence after which a member gets no new work.
-	gossipPeers     = 3                       // Peers asked at each interval.
+	maxPeers        = 3                       // Peers asked at each interval.
+	smallFleet      = 4                       // Nodes up to which one peer is asked at each interval.
+	mediumFleet     = 64                      // Nodes up to which two peers are.
 	readersPerDC    = 2                       // Nodes of each data centre that read the store.
 	maxStrangers    = 64                      // Addresses outside the roster that are remembered.
 	wantProof       = time.Second             // Time left on a proof below which a node reads the store itself.
@@ -278,11 +280,24 @@
 			picked = append(picked, a)
 		}
 	}
-	if len(all) < gossipPeers {
+	if len(all) < maxPeers {
 		for _, a := range m.Seeds {
 			add(a)
 		}
 	}
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return append(picked, all[:min(gossipPeers, len(all))]...)
+	return append(picked, all[:min(peersToAsk(len(all)), len(all))]...)
+}
+
+// peersToAsk returns the peers to ask at one interval, so that news reaches all
+// of n nodes well within the window: each interval multiplies the nodes that
+// know by one more than this.
+func peersToAsk(n int) int {
+	switch {
+	case n <= smallFleet:
+		return 1
+	case n <= mediumFleet:
+		return 2
+	}
+	return maxPeers
 }
--- a/internal/node/owner/pool.go
+++ b/internal/node/owner/pool.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	healthInterval = 25 * time.Millisecond
+	healthInterval = 50 * time.Millisecond
 	expireInterval = 100 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
 	probeTimeout   = time.Second
--- a/internal/node/registrar/registrar.go
+++ b/internal/node/registrar/registrar.go
@@ -61,9 +61,10 @@
 	Mesh      Mesh
 	Log       zerolog.Logger
 
-	mu       sync.Mutex // Guards the fields below.
-	changed  time.Time  // Time of the first change that is not published; zero if there is none.
-	sent     time.Time  // Time of the last summary.
+	mu       sync.Mutex      // Guards the fields below.
+	running  context.Context // Ends when the node does; nil before Start.
+	pending  bool            // A summary is about to be sent.
+	sent     time.Time       // Time of the last summary.
 	sequence uint64
 }
 
@@ -80,18 +81,13 @@
 
 // Start begins to publish summaries.
 func (r *Registrar) Start(ctx context.Context, timers *timer.Service) {
+	r.mu.Lock()
+	r.running = ctx
+	r.mu.Unlock()
 	timers.Subscribe(tickInterval, func(t timer.Tick) {
 		r.Directory.Expire(t.Now)
 		r.publishIfDue(ctx, t.Now)
 	})
-	timers.Subscribe(changeDelay, func(t timer.Tick) {
-		r.mu.Lock()
-		due := !r.changed.IsZero()
-		r.mu.Unlock()
-		if due {
-			r.publish(ctx, t.Now)
-		}
-	})
 }
 
 // Handler serves the address for backend servers.
@@ -198,9 +194,11 @@
 func (r *Registrar) Publish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.changed.IsZero() {
-		r.changed = time.Now()
+	if r.pending || r.running == nil {
+		return
 	}
+	r.pending = true
+	time.AfterFunc(changeDelay, func() { r.publish(r.running, time.Now()) })
 }
 
 // Interval returns the time between summaries without a change, for a fleet of
@@ -221,7 +219,7 @@
 
 func (r *Registrar) publish(ctx context.Context, now time.Time) {
 	r.mu.Lock()
-	r.changed = time.Time{}
+	r.pending = false
 	r.sent = now
 	r.mu.Unlock()
 	w := r.own(now)
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -88,6 +89,9 @@
 	server  *tls.Config
 	handler Handler
 
+	sent     atomic.Int64 // Bytes, of all sessions, with TLS.
+	received atomic.Int64
+
 	mu       sync.Mutex
 	sessions map[netip.AddrPort]*session
 	incoming map[*yamux.Session]struct{}
@@ -136,7 +140,7 @@
 }
 
 func (m *Mesh) accept(conn net.Conn) {
-	secure := tls.Server(conn, m.server)
+	secure := tls.Server(&countingConn{Conn: conn, mesh: m}, m.server)
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	err := secure.HandshakeContext(ctx)
 	cancel()
@@ -281,12 +285,8 @@
 func (m *Mesh) dial(to netip.AddrPort, s *session) {
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
-	d := tls.Dialer{NetDialer: &net.Dialer{}, Config: m.client}
-	conn, err := d.DialContext(ctx, "tcp", to.String())
-	if err == nil {
-		s.mux, err = yamux.Client(conn, yamuxConfig())
-	}
-	s.err = err
+	s.mux, s.err = m.connect(ctx, to)
+	err := s.err
 	s.touch()
 	close(s.ready)
 	if err != nil {
@@ -298,6 +298,45 @@
 	m.drop(to, s)
 }
 
+func (m *Mesh) connect(ctx context.Context, to netip.AddrPort) (*yamux.Session, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, err
+	}
+	config := m.client.Clone()
+	config.ServerName = to.Addr().String()
+	secure := tls.Client(&countingConn{Conn: conn, mesh: m}, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return yamux.Client(secure, yamuxConfig())
+}
+
+// countingConn counts the bytes of a session.
+type countingConn struct {
+	net.Conn
+	mesh *Mesh
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mesh.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mesh.sent.Add(int64(n))
+	return n, err
+}
+
+// Traffic returns the bytes sent and received over all sessions, with TLS.
+func (m *Mesh) Traffic() (sent, received int64) {
+	return m.sent.Load(), m.received.Load()
+}
+
 func (m *Mesh) drop(to netip.AddrPort, s *session) {
 	m.mu.Lock()
 	if m.sessions[to] == s {
