Tell entries an owner's free slots with every answer

Cause: an entry knew an owner's free slots only from summaries, one a second at most, and one in ten seconds in a large fleet. Ruled out: more frequent summaries, which cost 49 messages a second each at 490 nodes. Change: answers and failures carry the free slots of the service.

--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -55,6 +55,10 @@
 	ContentLength int64 // Bytes in Body; -1 if unknown.
 	BackendServer netip.AddrPort
 
+	// FreeSlots is what the owner has left for the service; nil if it is not
+	// known.
+	FreeSlots *int
+
 	// Trailer is complete once Body has returned io.EOF.
 	Trailer func() http.Header
 }
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -99,6 +99,7 @@
 	c.Avoid = a.avoid
 	c.ID = a.call.ID + "-" + strconv.Itoa(a.number)
 	answer, err := f.send(ctx, to, &c, body)
+	f.learn(to, a.service, answer, err)
 	if err != nil {
 		f.done(to, a.service)
 		return nil, err
@@ -149,6 +150,23 @@
 	return f.directory.Pick(now, choice)
 }
 
+// learn takes in what the owner told of its free slots. They count the slot of
+// an answer that is still being read.
+func (f *Forwarder) learn(to netip.AddrPort, service string, answer *exchange.Answer, err error) {
+	var free *int
+	if err != nil {
+		free = failure.From(err).FreeSlots
+	} else {
+		free = answer.FreeSlots
+	}
+	if free == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.directory.Learn(to, service, *free)
+}
+
 func (f *Forwarder) done(to netip.AddrPort, service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -183,6 +183,18 @@
 	if f := o.Authority.Authorize(time.Now(), c); f != nil {
 		return nil, f
 	}
+	answer, err := o.serve(ctx, c, body)
+	free := o.capacity(time.Now(), c.Pool.Service).Free
+	if err != nil {
+		f := failure.From(err)
+		f.FreeSlots = &free
+		return nil, f
+	}
+	answer.FreeSlots = &free
+	return answer, nil
+}
+
+func (o *Owner) serve(ctx context.Context, c *call.Call, body io.Reader) (*exchange.Answer, error) {
 	s := o.choose(time.Now(), c)
 	if s == nil {
 		return nil, failure.New(kind.NoCapacity, "no backend server of the service is ready", nil)
@@ -274,38 +286,39 @@
 
 // Capacities returns the capacity for each service, sorted by service.
 func (o *Owner) Capacities(now time.Time) []Capacity {
+	list := make([]Capacity, 0)
+	for _, service := range o.services() {
+		list = append(list, o.capacity(now, service))
+	}
+	return list
+}
+
+// services returns the services of this node's backend servers, sorted.
+func (o *Owner) services() []string {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
-	byService := make(map[string]*Capacity)
+	var list []string
 	for _, s := range o.servers {
-		if byService[s.service] == nil {
-			byService[s.service] = &Capacity{Service: s.service}
-		}
+		list = append(list, s.service)
 	}
-	list := make([]Capacity, 0, len(byService))
-	for service, c := range byService {
-		for _, e := range o.book.Eligible(now, service) {
-			o.count(now, c, e)
-		}
-		list = append(list, *c)
-	}
-	slices.SortFunc(list, func(a, b Capacity) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
-	return list
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
-func (o *Owner) count(now time.Time, c *Capacity, e lease.Entry) {
-	s := o.servers[e.BackendServer]
-	if s == nil || o.weight(now, e) == 0 {
-		return
+func (o *Owner) capacity(now time.Time, service string) Capacity {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	c := Capacity{Service: service}
+	for _, e := range o.book.Eligible(now, service) {
+		s := o.servers[e.BackendServer]
+		if s == nil || o.weight(now, e) == 0 {
+			continue
+		}
+		c.BackendServers++
+		c.Slots += e.Slots
+		c.Free += s.free()
 	}
-	c.BackendServers++
-	c.Slots += e.Slots
-	c.Free += s.free()
+	return c
 }
 
 // weight returns the least weight that any pool of the service allows.
--- a/internal/peer/courier/courier.go
+++ b/internal/peer/courier/courier.go
@@ -11,6 +11,8 @@
 	"sort"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/peer/link"
@@ -206,6 +208,7 @@
 			Body:          reader,
 			ContentLength: body.Answer.GetContentLength(),
 			BackendServer: address(body.Answer.GetBackendServer()),
+			FreeSlots:     fromWire(body.Answer.FreeSlots),
 			Trailer:       func() http.Header { return reader.trailer },
 		}, nil
 	default:
@@ -230,7 +233,23 @@
 		Detail:     f.GetDetail(),
 
 		BackendServer: address(f.GetBackendServer()),
+		FreeSlots:     fromWire(f.FreeSlots),
+	}
+}
+
+func toWire(n *int) *int32 {
+	if n == nil {
+		return nil
+	}
+	return proto.Int32(int32(*n))
+}
+
+func fromWire(n *int32) *int {
+	if n == nil {
+		return nil
 	}
+	m := int(*n)
+	return &m
 }
 
 // bodyReader reads a body from a stream. It returns io.EOF only after the
@@ -384,6 +403,7 @@
 		RetryAfterNanos: int64(f.RetryAfter),
 		Detail:          f.Detail,
 		BackendServer:   f.BackendServer.String(),
+		FreeSlots:       toWire(f.FreeSlots),
 	}}})
 }
 
@@ -393,6 +413,7 @@
 		Headers:       fields(answer.Header),
 		ContentLength: answer.ContentLength,
 		BackendServer: answer.BackendServer.String(),
+		FreeSlots:     toWire(answer.FreeSlots),
 	}
 	if stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Answer{Answer: head}}) != nil {
 		return
--- a/internal/request/failure/failure.go
+++ b/internal/request/failure/failure.go
@@ -18,6 +18,10 @@
 	Detail     string        // Particulars for the caller; never holds a key.
 	Err        error         // Cause, for the node's log only.
 
+	// FreeSlots is what the owner has left for the service; nil if it is not
+	// known.
+	FreeSlots *int
+
 	// BackendServer is the one that the request was meant for; the zero value if
 	// none was chosen.
 	BackendServer netip.AddrPort
--- a/internal/route/directory/directory.go
+++ b/internal/route/directory/directory.go
@@ -152,10 +152,24 @@
 	return a.owner.summary.DataCentre == c.DataCentre && b.owner.summary.DataCentre != c.DataCentre
 }
 
+// Learn notes the free slots that an owner told with an answer, which is newer
+// than its summary.
+func (d *Directory) Learn(address netip.AddrPort, service string, free int) {
+	if o := d.owners[address]; o != nil {
+		o.free[service] = free
+	}
+}
+
 // Done notes that a request sent to an owner has ended.
 func (d *Directory) Done(address netip.AddrPort, service string) {
-	if o := d.owners[address]; o != nil {
-		o.free[service]++
+	o := d.owners[address]
+	if o == nil {
+		return
+	}
+	for _, c := range o.summary.Services {
+		if c.Service == service {
+			o.free[service] = min(o.free[service]+1, c.Slots)
+		}
 	}
 }
 
