Spare stewards the work when nobody changes

Cause: a steward indexed the whole roster at each decision, also when it knew of no silent, joining or resigned member. Ruled out: calling it more rarely; its batches count from the first call. Change: it waits at once then. The tests of currency keep the progress of each head and run side by side.

--- a/internal/fleet/currency/fleet_test.go
+++ b/internal/fleet/currency/fleet_test.go
@@ -121,7 +121,8 @@
 	rng      *rand.Rand
 	now      time.Duration
 	nodes    []*node
-	heads    []head.Head              // All heads ever, by sequence less one; the store holds the last.
+	heads    []head.Head // All heads ever, by sequence less one; the store holds the last.
+	progress []succession.Progress
 	blocked  map[[2]int]time.Duration // Times until which a node does not reach another one; the store is -1.
 	messages []*message
 	spare    []*message
@@ -147,6 +148,7 @@
 		}
 	}
 	w.heads = []head.Head{succession.Next(head.Head{}, true, succession.Change{Join: roster})}
+	w.progress = make([]succession.Progress, 1)
 	for _, n := range w.nodes {
 		w.run(n, w.store())
 	}
@@ -190,6 +192,7 @@
 		h.Pending = h.Pending[len(h.Pending)-1:]
 	}
 	w.heads = append(w.heads, h)
+	w.progress = append(w.progress, succession.NewProgress(h))
 }
 
 // delay is mostly short and at times longer than the window, until the faults end.
@@ -382,8 +385,7 @@
 func (w *world) check() string {
 	for q := len(w.accepted); q < len(w.heads); q++ {
 		moved := func(m member.Member) bool { return w.ran[m] > uint64(q) || w.ended[m] }
-		progress := succession.NewProgress(w.heads[q])
-		if w.mistake == acceptedAtOnce || progress.Accepted(moved) {
+		if w.mistake == acceptedAtOnce || w.progress[q].Accepted(moved) {
 			for len(w.accepted) <= q {
 				w.accepted = append(w.accepted, w.now)
 			}
--- a/internal/fleet/currency/state_test.go
+++ b/internal/fleet/currency/state_test.go
@@ -14,6 +14,7 @@
 // network, the store, the clocks and the processes. No node may be current on an
 // older head once a head is in force, and the fleet is whole after the faults.
 func TestState_Current(t *testing.T) {
+	t.Parallel()
 	var verdicts [3]int
 	heads, accepted := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -36,6 +37,7 @@
 // TestState_Current_mistakes shows that the same schedules find mistakes in the
 // code around the decisions.
 func TestState_Current_mistakes(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		desc    string
 		mistake mistake
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -86,6 +86,9 @@
 
 // successor returns the head that the input asks for and whether it asks for any.
 func successor(in Input) (head.Head, bool) {
+	if len(in.Silent)+len(in.Joining)+len(in.Resigned)+len(in.Ended) == 0 && !in.Behind {
+		return head.Head{}, false
+	}
 	k := index(in)
 	change := succession.Change{Ended: k.endedMembers(in.Head)}
 	if len(in.Head.Pending) <= MaxPending {
