Ask a second time when the answer to an idempotent request is overdue

Cause: until a hanging or slow backend server is ejected, each lookup that it got waited for the route's timeout: TestBackendServer_hanging saw 504 after 3 s. Ruled out: a shorter timeout, which would end answers that are only slow; ejection alone, which needs several requests as evidence. Change: an entry learns how long a route's answers take; after six times that it sends the request to a second owner, within the retry budget, and takes the better answer. An attempt that is cancelled so counts as slow evidence with the time that it took. A blocked reader of a body no longer delays the next attempt.

--- a/internal/check/fleet/policy_test.go
+++ b/internal/check/fleet/policy_test.go
@@ -103,3 +103,20 @@
 		t.Errorf("got %d requests admitted in 9 s at a rate of 30", len(admitted))
 	}
 }
+
+// TestBackendServer_hanging lets a backend server hang. Lookups that it got are
+// overdue long before their deadline and are sent a second time.
+func TestBackendServer_hanging(t *testing.T) {
+	f := start(t)
+	stop := f.load(60, http.MethodGet, any3)
+	time.Sleep(2 * time.Second)
+	if err := new(control.Client).Set(context.Background(), f.BackendServers[2], fault.Setting{Mode: fault.Hang}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	for _, r := range stop() {
+		if r.status != http.StatusOK {
+			t.Errorf("got %+v while a backend server hangs", r)
+		}
+	}
+}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -3,14 +3,10 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +16,7 @@
 	"filbertturn.example/filbertturn/internal/request/call"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/pace"
 	"filbertturn.example/filbertturn/internal/request/replay"
 	"filbertturn.example/filbertturn/internal/route/directory"
 )
@@ -27,10 +24,6 @@
 // maxAttempts bounds the attempts at one request, whatever the budget says.
 const maxAttempts = 3
 
-// maxGathered is the longest answer, in bytes, that is read to its end before
-// the caller sees any of it.
-const maxGathered = 16 << 10
-
 // Forwarder implements the sink of the entry's pipeline.
 type Forwarder struct {
 	Self       netip.AddrPort
@@ -41,107 +34,28 @@
 	mu        sync.Mutex // Guards the fields below.
 	directory directory.Directory
 	budgets   map[string]*budget.Budget // By service.
-}
-
-// attempt is the state of one request over its attempts.
-type attempt struct {
-	call    *call.Call
-	body    *replay.Body
-	tried   map[netip.AddrPort]bool
-	number  int
-	avoid   []netip.AddrPort // Backend servers that failed.
-	service string
+	paces     map[string]*pace.Pace     // By route.
 }
 
 // Forward sends c until an attempt gives an answer, or it must not be or is not
 // worth being sent again. Errors are of type *failure.Failure.
 func (f *Forwarder) Forward(ctx context.Context, c *call.Call, body *replay.Body) (*exchange.Answer, error) {
-	a := &attempt{call: c, body: body, service: c.Pool.Service, tried: make(map[netip.AddrPort]bool)}
-	f.budget(a.service, func(b *budget.Budget) bool { b.Request(time.Now()); return true })
+	r := &request{call: c, body: body, service: c.Pool.Service, tried: make(map[netip.AddrPort]bool)}
+	f.budget(r.service, func(b *budget.Budget) bool { b.Request(time.Now()); return true })
 	for {
-		a.number++
-		answer, err := f.try(ctx, a)
-		if !f.again(ctx, a, answer, err) {
-			return answer, err
-		}
-		a.note(answer, err)
-	}
-}
-
-// note remembers the backend server that an attempt failed at.
-func (a *attempt) note(answer *exchange.Answer, err error) {
-	if answer != nil {
-		a.avoid = append(a.avoid, answer.BackendServer)
-		_ = answer.Body.Close()
-		return
-	}
-	if f := failure.From(err); f.BackendServer.IsValid() {
-		a.avoid = append(a.avoid, f.BackendServer)
-	}
-}
-
-func (f *Forwarder) try(ctx context.Context, a *attempt) (*exchange.Answer, error) {
-	var body io.Reader
-	if a.body != nil {
-		var ok bool
-		if body, ok = a.body.Reader(); !ok {
-			return nil, failure.New(kind.Internal, "the body cannot be sent again", nil)
+		result := f.race(ctx, r)
+		if !f.again(ctx, r, result) {
+			return result.answer, result.err
 		}
+		r.note(result)
 	}
-	to, ok := f.pick(a)
-	if !ok {
-		return nil, failure.New(kind.NoCapacity, "no backend server of the service is ready", nil)
-	}
-	a.tried[to] = true
-	// The owner and the exchange change the header.
-	c := *a.call
-	c.Header = a.call.Header.Clone()
-	c.Avoid = a.avoid
-	c.ID = a.call.ID + "-" + strconv.Itoa(a.number)
-	answer, err := f.send(ctx, to, &c, body)
-	f.learn(to, a.service, answer, err)
-	if err != nil {
-		f.done(to, a.service)
-		return nil, err
-	}
-	answer.Body = &countedBody{ReadCloser: answer.Body, done: func() { f.done(to, a.service) }}
-	return gather(&c, answer)
-}
-
-// gather reads a short answer to its end before the caller sees any of it, so
-// that one that is cut short can still be asked for again.
-func gather(c *call.Call, answer *exchange.Answer) (*exchange.Answer, error) {
-	if !c.Idempotent || answer.ContentLength <= 0 || answer.ContentLength > maxGathered || c.Method == http.MethodHead {
-		return answer, nil
-	}
-	whole := make([]byte, answer.ContentLength)
-	_, err := io.ReadFull(answer.Body, whole)
-	if err == nil {
-		// The end of the body tells that the answer was whole.
-		_, err = answer.Body.Read(make([]byte, 1))
-	}
-	closeErr := answer.Body.Close()
-	if !errors.Is(err, io.EOF) {
-		f := failure.From(errors.Join(err, closeErr))
-		f.BackendServer = answer.BackendServer
-		return nil, f
-	}
-	answer.Body = io.NopCloser(bytes.NewReader(whole))
-	return answer, nil
-}
-
-func (f *Forwarder) send(ctx context.Context, to netip.AddrPort, c *call.Call, body io.Reader) (*exchange.Answer, error) {
-	if to == f.Self {
-		return f.Owner.Serve(ctx, c, body)
-	}
-	return f.Courier.Send(ctx, to, c, body)
 }
 
 // pick chooses an owner that was not tried, or, when all were, any of them.
-func (f *Forwarder) pick(a *attempt) (netip.AddrPort, bool) {
+func (f *Forwarder) pick(r *request) (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	choice := directory.Choice{Service: a.service, DataCentre: f.DataCentre, Exclude: a.tried, Random: rand.Uint64()}
+	choice := directory.Choice{Service: r.service, DataCentre: f.DataCentre, Exclude: r.tried, Random: rand.Uint64()}
 	now := time.Now()
 	if to, ok := f.directory.Pick(now, choice); ok {
 		return to, true
@@ -152,19 +66,35 @@
 
 // learn takes in what the owner told of its free slots. They count the slot of
 // an answer that is still being read.
-func (f *Forwarder) learn(to netip.AddrPort, service string, answer *exchange.Answer, err error) {
-	var free *int
-	if err != nil {
-		free = failure.From(err).FreeSlots
-	} else {
-		free = answer.FreeSlots
+func (f *Forwarder) learn(a *attempt, o outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if free := o.freeSlots(); free != nil {
+		f.directory.Learn(a.to, a.service, *free)
 	}
-	if free == nil {
-		return
+	if o.err == nil {
+		f.pace(a.call.Route.Name).Observe(time.Now(), time.Since(a.started))
 	}
+}
+
+// overdue returns the time after which an answer on a route is overdue.
+func (f *Forwarder) overdue(route string) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.directory.Learn(to, service, *free)
+	return f.pace(route).Overdue()
+}
+
+// pace returns the pace of a route. It is called with the lock.
+func (f *Forwarder) pace(route string) *pace.Pace {
+	if f.paces == nil {
+		f.paces = make(map[string]*pace.Pace)
+	}
+	p := f.paces[route]
+	if p == nil {
+		p = new(pace.Pace)
+		f.paces[route] = p
+	}
+	return p
 }
 
 func (f *Forwarder) done(to netip.AddrPort, service string) {
@@ -174,16 +104,11 @@
 }
 
 // again decides whether the request is sent once more.
-func (f *Forwarder) again(ctx context.Context, a *attempt, answer *exchange.Answer, err error) bool {
-	if a.number >= maxAttempts || ctx.Err() != nil || !worthAgain(a.call, answer, err) {
+func (f *Forwarder) again(ctx context.Context, r *request, result outcome) bool {
+	if r.attempts >= maxAttempts || ctx.Err() != nil || !worthAgain(r.call, result.answer, result.err) {
 		return false
 	}
-	if a.body != nil {
-		if _, ok := a.body.Reader(); !ok {
-			return false
-		}
-	}
-	return f.budget(a.service, func(b *budget.Budget) bool { return b.Retry(time.Now()) })
+	return r.repeatable() && f.budget(r.service, func(b *budget.Budget) bool { return b.Retry(time.Now()) })
 }
 
 // worthAgain tells whether another attempt is allowed and can end better.
@@ -236,16 +161,3 @@
 	defer f.mu.Unlock()
 	return f.directory.Owners(now)
 }
-
-// countedBody notes the end of an attempt when its answer is closed.
-type countedBody struct {
-	io.ReadCloser
-	once sync.Once
-	done func()
-}
-
-// Close ends the attempt.
-func (b *countedBody) Close() error {
-	b.once.Do(b.done)
-	return b.ReadCloser.Close()
-}
--- a/internal/node/owner/execution.go
+++ b/internal/node/owner/execution.go
@@ -74,6 +74,13 @@
 		o.Kind = evidence.Cut
 	case kind.ForeignAnswer:
 		o.Kind = evidence.Wrong
+	case kind.CancelledByCaller:
+		// The answer would have taken longer still, so that this never
+		// overstates how slow the backend server is.
+		if took := time.Since(x.started); took >= x.owner.overdue(x.call)/2 {
+			return evidence.Answered{ID: x.id, Route: x.call.Route.Name, Latency: took}
+		}
+		return nil
 	case kind.DeadlineDuringRun:
 		// A caller's short deadline is not the backend server's fault.
 		if time.Since(x.started) < x.owner.overdue(x.call) {
--- a/internal/node/registrar/registrar.go
+++ b/internal/node/registrar/registrar.go
@@ -6,9 +6,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	ownerTimeout    = 300 * time.Millisecond // Time that one owner has to answer.
 	maxOwners       = 4                      // Owners that an announcement is offered to.
 	maxAnnouncement = 4 << 10                // Bytes of an announcement.
+	maxName         = 256                    // Bytes of a service's name.
+	maxSlots        = 1 << 16                // Requests that one backend server runs at once.
 	tickInterval    = 100 * time.Millisecond
 	summaryFloor    = time.Second           // Shortest time between summaries without a change.
 	summaryPerNode  = 20 * time.Millisecond // Time added to it by each member, which bounds the traffic.
@@ -125,10 +129,26 @@
 	if !ok {
 		return lease.Announcement{}, errors.New("field State is none of Starting, Ready and Draining")
 	}
-	return lease.Announcement{
+	l := lease.Announcement{
 		BackendServer: a.BackendServer, Service: a.Service, DataCentre: a.DataCentre, Slots: a.Slots,
 		State: state, Incarnation: a.Incarnation, Sequence: a.Sequence,
-	}, nil
+	}
+	return l, validate(l)
+}
+
+// validate refuses what would give a backend server a place that it cannot have.
+func validate(a lease.Announcement) error {
+	switch {
+	case !a.BackendServer.IsValid() || a.BackendServer.Addr().IsUnspecified() || a.BackendServer.Port() == 0:
+		return errors.New("field BackendServer is not an address IP:PORT")
+	case a.Service == "" || len(a.Service) > maxName:
+		return errors.New("field Service is empty or too long")
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return errors.New("field Slots is not a number from 1 to " + strconv.Itoa(maxSlots))
+	case a.State > lease.Draining:
+		return errors.New("field State is not known")
+	}
+	return nil
 }
 
 // place offers an announcement to the nodes that may own the backend server, in
@@ -179,15 +199,24 @@
 	if err != nil {
 		return err
 	}
-	return r.Owner.Heartbeat(time.Now(), lease.Announcement{
+	a := lease.Announcement{
 		BackendServer: address,
 		Service:       w.GetService(),
 		DataCentre:    w.GetDataCentre(),
 		Slots:         int(w.GetSlots()),
-		State:         lease.State(w.GetState()),
+		State:         state(w.GetState()),
 		Incarnation:   w.GetIncarnation(),
 		Sequence:      w.GetSequence(),
-	})
+	}
+	if err := validate(a); err != nil {
+		return err
+	}
+	return r.Owner.Heartbeat(time.Now(), a)
+}
+
+// state keeps numbers that a state has no room for from looking like another.
+func state(n uint32) lease.State {
+	return lease.State(min(n, math.MaxUint8))
 }
 
 // Publish tells all nodes soon that this node's capacity has changed.
--- /dev/null
+++ b/internal/request/pace/pace_test.go
@@ -0,0 +1,46 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+)
+
+// TestPace_Overdue checks that answers within a factor of two of one another
+// are never overdue, however many there are, and that a change of the usual
+// time is followed.
+func TestPace_Overdue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Pace
+		now := time.Unix(0, 0)
+		usual := time.Duration(rapid.IntRange(int(time.Millisecond), int(time.Second)).Draw(t, "usual"))
+		for range rapid.IntRange(0, 100).Draw(t, "answers") {
+			now = now.Add(time.Duration(rapid.IntRange(0, int(time.Second)).Draw(t, "gap")))
+			took := usual + time.Duration(rapid.IntRange(0, int(usual)).Draw(t, "took"))
+			p.Observe(now, took)
+			if overdue, ok := p.Overdue(); ok && took >= overdue {
+				t.Fatalf("got an answer after %s overdue, limit %s", took, overdue)
+			}
+		}
+		for range 200 {
+			now = now.Add(time.Second)
+			p.Observe(now, 10*usual)
+		}
+		if overdue, ok := p.Overdue(); ok && overdue < 10*usual {
+			t.Errorf("got %s as overdue after the route became slower, usual %s", overdue, 10*usual)
+		}
+	})
+}
+
+func TestPace_Overdue_unknown(t *testing.T) {
+	var p Pace
+	for range int(minSamples) - 1 {
+		p.Observe(time.Unix(0, 0), time.Millisecond)
+	}
+	if got, ok := p.Overdue(); ok {
+		t.Errorf("got %s after too few answers", got)
+	}
+}
--- a/internal/request/replay/replay.go
+++ b/internal/request/replay/replay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // limit is the largest body, in bytes, that can be sent again.
@@ -15,13 +16,16 @@
 
 // Body reads a source once and keeps its first bytes.
 type Body struct {
-	mu       sync.Mutex
-	source   io.Reader
-	kept     []byte
-	total    int // Bytes read from source.
-	end      error
-	readers  int
-	overflow bool
+	// A reader that is blocked in the source holds mu, so that what the next
+	// attempt asks for first does not need it.
+	readers  atomic.Int64
+	overflow atomic.Bool
+
+	mu     sync.Mutex
+	source io.Reader
+	kept   []byte
+	total  int // Bytes read from source.
+	end    error
 }
 
 // New returns a body that reads source.
@@ -32,18 +36,20 @@
 // Reader returns a reader from the start of the body, or false if the body's
 // start is no longer kept. Readers returned earlier fail from then on.
 func (b *Body) Reader() (io.Reader, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.overflow {
+	if b.overflow.Load() {
 		return nil, false
 	}
-	b.readers++
-	return &reader{body: b, number: b.readers}, true
+	return &reader{body: b, number: b.readers.Add(1)}, true
+}
+
+// Kept reports whether the body can be read from its start.
+func (b *Body) Kept() bool {
+	return !b.overflow.Load()
 }
 
 type reader struct {
 	body   *Body
-	number int
+	number int64
 	offset int
 }
 
@@ -53,7 +59,11 @@
 	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.number != b.readers {
+	if r.number != b.readers.Load() {
+		return 0, errStale
+	}
+	if r.offset < b.total && b.overflow.Load() {
+		// An earlier reader took more of the body after this one was made.
 		return 0, errStale
 	}
 	if r.offset < len(b.kept) {
@@ -74,7 +84,7 @@
 func (b *Body) keep(p []byte) {
 	b.total += len(p)
 	if b.total > limit {
-		b.overflow = true
+		b.overflow.Store(true)
 		b.kept = nil
 		return
 	}
