--- a/internal/health/evidence/ledger.go
+++ b/internal/health/evidence/ledger.go
@@ -3,6 +3,7 @@
 package evidence
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -28,6 +29,9 @@
 	OverdueFactor = 8.0
 
 	DefaultOverdue = 2 * time.Second // Without a known median.
+
+	maxSamples   = 64  // Routes of one backend server in one report.
+	maxBaselines = 512 // Routes whose baselines are kept.
 )
 
 // Status is what the heartbeats of a backend server say.
@@ -43,8 +47,8 @@
 type Ledger struct {
 	Pool string
 
-	servers   []*server // Ordered by address.
-	baselines []report.Baseline
+	servers   []*server         // Ordered by address.
+	baselines []report.Baseline // Ordered by route.
 	echo      report.Stamp
 	sequence  uint64 // Of the last report.
 	learnt    uint64 // Of the report that the newest ruling answers.
@@ -154,7 +158,9 @@
 	}
 	l.learnt = r.Sequence
 	l.echo = r.Stamp
-	l.baselines = r.Baselines
+	for _, b := range r.Baselines {
+		l.keepBaseline(b)
+	}
 	if r.Sequence == l.sequence {
 		for _, s := range l.servers {
 			s.suspect = time.Time{}
@@ -238,11 +244,29 @@
 	return nil
 }
 
+func (l *Ledger) findBaseline(route string) (int, bool) {
+	return slices.BinarySearchFunc(l.baselines, route, func(b report.Baseline, r string) int {
+		return cmp.Compare(b.Route, r)
+	})
+}
+
+// keepBaseline stores the baseline of a route. When there are too many, some
+// of them belong to routes that exist no more, and all are learnt anew.
+func (l *Ledger) keepBaseline(b report.Baseline) {
+	i, found := l.findBaseline(b.Route)
+	switch {
+	case found:
+		l.baselines[i] = b
+	case len(l.baselines) >= maxBaselines:
+		l.baselines = []report.Baseline{b}
+	default:
+		l.baselines = slices.Insert(l.baselines, i, b)
+	}
+}
+
 func (l *Ledger) median(route string) (float64, bool) {
-	for _, b := range l.baselines {
-		if b.Route == route {
-			return b.Median, true
-		}
+	if i, found := l.findBaseline(route); found {
+		return l.baselines[i].Median, true
 	}
 	return 0, false
 }
--- a/internal/health/evidence/window.go
+++ b/internal/health/evidence/window.go
@@ -15,7 +15,7 @@
 		return cmp.Compare(p.Route, r)
 	})
 	if !found {
-		if len(s.samples) >= report.MaxRoutes/2 {
+		if len(s.samples) >= maxSamples {
 			return nil
 		}
 		s.samples = slices.Insert(s.samples, i, report.Sample{Route: route})
--- a/internal/health/referee/referee.go
+++ b/internal/health/referee/referee.go
@@ -51,7 +51,8 @@
 	member   member.Member
 	sequence uint64
 	heard    time.Time
-	pending  bool // Its last report has not been answered.
+	pending  bool  // Its last report has not been answered.
+	routes   []int // Indexes of the route classes whose baselines it needs.
 }
 
 // Submit takes in a report. It drops one that is not newer than the last one
@@ -69,13 +70,29 @@
 	o.sequence, o.heard, o.pending = p.Sequence, now, true
 	r.refresh(now)
 	proof := r.proof(now, p.Echo)
+	o.routes = o.routes[:0]
+	if p.Echo.Term != r.Term { // It has heard nothing from this home yet.
+		for i := range r.routes {
+			o.routes = append(o.routes, i)
+		}
+	}
 	r.dropViews(from, p)
 	for i := range p.Servers {
 		r.take(now, from, proof, &p.Servers[i])
+		r.list(now, o, &p.Servers[i])
 	}
 	return true
 }
 
+// list notes the route classes of a report, whose baselines its owner gets.
+func (r *Referee) list(now time.Time, o *owner, p *report.Server) {
+	for _, m := range p.Samples {
+		if i := r.route(now, m.Route); i >= 0 && !slices.Contains(o.routes, i) {
+			o.routes = append(o.routes, i)
+		}
+	}
+}
+
 // Rule answers each owner that has reported since the last call.
 func (r *Referee) Rule(now time.Time) []report.Ruling {
 	r.begin(now)
@@ -130,7 +147,7 @@
 	a := report.Ruling{
 		Pool: r.Pool.Name, Epoch: r.Epoch, Sequence: o.sequence,
 		Stamp: report.Stamp{Term: r.Term, At: now.UnixNano()}, To: o.member,
-		Baselines: r.baselines(),
+		Baselines: r.baselines(o.routes),
 	}
 	for _, s := range r.servers {
 		v := s.view(o.member)
--- a/internal/health/report/codec.go
+++ b/internal/health/report/codec.go
@@ -14,7 +14,7 @@
 const (
 	MaxBytes    = 256 << 10
 	MaxServers  = 1024
-	MaxRoutes   = 64
+	MaxRoutes   = 4096
 	MaxName     = 256
 	MaxCount    = 1 << 20 // Highest count in a sample.
 	MaxReadyFor = time.Hour
