Write the assertion that members have ended to the store

Cause: the assertion was kept in the memory of the node that took it, and only the few stewards propose changes of the roster, so that at most nodes it changed nothing; it was not in the audit trail either. Change: the command commits a head without the members and an audit record in one transaction, and tells whether it is in force; status lists the members that a change waits for. Result: TestMembers_ended (two of three nodes lost for ever: a publish is stored and not in force; after the assertion it is, and so is the next) and TestFleet_restarted (all nodes killed and started with the store away: refused as NotRun until the store returns, then served) pass.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -7,7 +7,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -45,7 +47,6 @@
 	Accepted() uint64
 	InForce(now time.Time) uint64
 	Status(now time.Time) membership.Status
-	Assert(ended []member.Member)
 	Refresh(ctx context.Context)
 }
 
@@ -129,6 +130,7 @@
 		InForce:        s.InForce,
 		Newest:         s.Newest,
 		Roster:         s.Head.Roster,
+		Pending:        pending(s),
 		Live:           s.Live,
 		StoreError:     s.StoreError,
 		StoreAt:        s.StoreAt,
@@ -137,6 +139,17 @@
 	})
 }
 
+// pending returns the members that the acceptance of the head may wait for.
+func pending(s membership.Status) []member.Member {
+	if s.Accepted >= s.Head.Sequence {
+		return nil
+	}
+	list := slices.Concat(s.Head.Pending...)
+	list = slices.DeleteFunc(list, func(m member.Member) bool { return slices.Contains(s.Head.Ended, m) })
+	slices.SortFunc(list, member.Member.Compare)
+	return slices.Compact(list)
+}
+
 func (a *API) getConfig(w http.ResponseWriter, _ *http.Request, _ string) {
 	h, config := a.Members.View()
 	var s set.Set
@@ -265,14 +278,63 @@
 	reply(w, records)
 }
 
+// ended writes the operator's assertion to the store, so that it holds whatever
+// becomes of this node.
 func (a *API) ended(w http.ResponseWriter, r *http.Request, operator string) {
 	var e message.Ended
 	if !read(w, r, &e) {
 		return
 	}
-	a.Log.Warn().Str("Operator", operator).Any("Members", e.Members).Msg("operator asserts that members have ended")
-	a.Members.Assert(e.Members)
-	reply(w, struct{}{})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), publishTimeout)
+	defer cancel()
+	known, _ := a.Members.View()
+	members, unknown := resolve(known, e.Members)
+	if len(unknown) > 0 {
+		refuse(w, http.StatusBadRequest, &message.Error{Code: message.Malformed, Message: fmt.Sprintf("no change waits for %v", unknown)})
+		return
+	}
+	accepted := a.Members.Accepted()
+	h, err := a.publisher().Assert(ctx, publisher.Assertion{
+		Members: members, Known: known, Operator: operator, Time: time.Now().UTC(),
+		Next: func(base head.Head, revision uint64) (head.Head, bool) {
+			change := succession.Change{Revision: revision, Manifest: base.Manifest, Ended: members}
+			return succession.Next(base, accepted >= base.Sequence, change), !haveEnded(base, members)
+		},
+	})
+	a.Log.Warn().AnErr("Error", err).Str("Operator", operator).Any("Members", members).Msg("operator asserts that members have ended")
+	if err != nil {
+		refusePublish(w, err)
+		return
+	}
+	a.Members.Refresh(ctx)
+	reply(w, message.Published{Revision: h.Revision, Sequence: h.Sequence, InForce: a.waitForce(ctx, h.Sequence)})
+}
+
+// resolve finds members by address and incarnation among those that the head
+// lists or waits for.
+func resolve(h head.Head, named []member.Member) (found, unknown []member.Member) {
+	all := append(slices.Concat(h.Pending...), h.Roster...)
+	for _, n := range named {
+		i := slices.IndexFunc(all, func(m member.Member) bool { return m.Compare(n) == 0 })
+		if i < 0 {
+			unknown = append(unknown, n)
+			continue
+		}
+		found = append(found, all[i])
+	}
+	return found, unknown
+}
+
+// haveEnded tells whether a head waits for none of the members.
+func haveEnded(h head.Head, members []member.Member) bool {
+	waits := func(m member.Member) bool {
+		if slices.Contains(h.Roster, m) {
+			return true
+		}
+		pending := slices.ContainsFunc(h.Pending, func(roster []member.Member) bool { return slices.Contains(roster, m) })
+		return pending && !slices.Contains(h.Ended, m)
+	}
+	return !slices.ContainsFunc(members, waits)
 }
 
 func read(w http.ResponseWriter, r *http.Request, value any) bool {
--- a/internal/admin/client/client.go
+++ b/internal/admin/client/client.go
@@ -78,8 +78,10 @@
 }
 
 // Ended asserts that members have stopped for ever.
-func (c *Client) Ended(ctx context.Context, e message.Ended) error {
-	return c.call(ctx, http.MethodPost, message.EndedPath, e, nil)
+func (c *Client) Ended(ctx context.Context, e message.Ended) (message.Published, error) {
+	var r message.Published
+	err := c.call(ctx, http.MethodPost, message.EndedPath, e, &r)
+	return r, err
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
--- a/internal/admin/command/config.go
+++ b/internal/admin/command/config.go
@@ -132,7 +132,13 @@
 	if err != nil {
 		return explain(c, t, p, err)
 	}
-	err = t.printer(c).value(done, func(w io.Writer) {
+	return printPublished(c, t, done)
+}
+
+// printPublished prints the outcome of a change. The error has ExitPending if
+// the change is not in force everywhere.
+func printPublished(c *cobra.Command, t *target, done message.Published) error {
+	err := t.printer(c).value(done, func(w io.Writer) {
 		for _, change := range done.Changes {
 			_, _ = fmt.Fprintln(w, change)
 		}
--- a/internal/admin/command/status.go
+++ b/internal/admin/command/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -50,6 +51,9 @@
 	row("Sequence", fmt.Sprintf("%d (accepted %d, in force %d, newest %d)", s.Sequence, s.Accepted, s.InForce, s.Newest))
 	row("Revision", s.Revision)
 	row("Members", fmt.Sprintf("%d, %d of them live", len(s.Roster), s.Live))
+	for _, m := range s.Pending {
+		row("Waits for", m)
+	}
 	switch {
 	case s.StoreError != "":
 		row("Store", s.StoreError)
@@ -114,8 +118,8 @@
 			"The members are named as status prints them. A member that is asserted but still runs may serve on an old " +
 			"configuration: power its VM off first.",
 		Args: usage(cobra.MinimumNArgs(1)),
-		RunE: func(_ *cobra.Command, args []string) error {
-			return assertEnded(&t, args)
+		RunE: func(c *cobra.Command, args []string) error {
+			return assertEnded(c, &t, args)
 		},
 	}
 	t.register(ended)
@@ -123,7 +127,7 @@
 	return c
 }
 
-func assertEnded(t *target, args []string) error {
+func assertEnded(c *cobra.Command, t *target, args []string) error {
 	node, err := t.client()
 	if err != nil {
 		return err
@@ -136,26 +140,30 @@
 	}
 	var e message.Ended
 	for _, text := range args {
-		m, err := findMember(s.Roster, text)
+		m, err := findMember(slices.Concat(s.Roster, s.Pending), text)
 		if err != nil {
 			return &Exit{Code: ExitUsage, Err: err}
 		}
 		e.Members = append(e.Members, m)
 	}
-	return node.Ended(ctx, e)
+	done, err := node.Ended(ctx, e)
+	if err != nil {
+		return err
+	}
+	return printPublished(c, t, done)
 }
 
-func findMember(roster []member.Member, text string) (member.Member, error) {
+func findMember(known []member.Member, text string) (member.Member, error) {
 	address, incarnation, _ := strings.Cut(text, "#")
 	a, errAddress := netip.ParseAddrPort(address)
 	n, errNumber := strconv.ParseUint(incarnation, 16, 64)
 	if err := errors.Join(errAddress, errNumber); err != nil {
 		return member.Member{}, fmt.Errorf("%q is not ADDRESS#INCARNATION", text)
 	}
-	for _, m := range roster {
+	for _, m := range known {
 		if m.Address == a && m.Incarnation == n {
 			return m, nil
 		}
 	}
-	return member.Member{}, fmt.Errorf("%s is not in the roster", text)
+	return member.Member{}, fmt.Errorf("%s is not in the roster and nothing waits for it", text)
 }
--- a/internal/admin/message/message.go
+++ b/internal/admin/message/message.go
@@ -63,9 +63,10 @@
 	InForce        uint64 // Highest sequence for which no current node runs an older one.
 	Newest         uint64 // Highest sequence heard of.
 	Roster         []member.Member
-	Live           int       // Members of the roster that were heard of lately.
-	StoreError     string    `json:",omitempty"`
-	StoreAt        time.Time // Last good read of the store by this node; zero if there was none.
+	Pending        []member.Member `json:",omitempty"` // Members that changes still wait for, in the roster or not.
+	Live           int             // Members of the roster that were heard of lately.
+	StoreError     string          `json:",omitempty"`
+	StoreAt        time.Time       // Last good read of the store by this node; zero if there was none.
 	BackendServers []owner.Status
 	Owners         int // Owners whose summaries this node has.
 }
--- a/internal/check/fleet/store_test.go
+++ b/internal/check/fleet/store_test.go
@@ -103,3 +103,75 @@
 		t.Errorf("got %v and %v, want one publish and one conflict that tells the change", first, second)
 	}
 }
+
+// TestFleet_restarted ends all nodes and starts them again while the store is
+// away. They say that they cannot serve, and do once the store returns.
+func TestFleet_restarted(t *testing.T) {
+	f := start(t)
+	f.control(`{"Outage":true}`)
+	for i := range nodes {
+		f.Node(i).Kill()
+	}
+	for i := range nodes {
+		if err := f.Restart(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	refused := 0
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for i := range nodes {
+			r := f.send(i, http.MethodGet)
+			if r.status == http.StatusOK {
+				t.Fatalf("got %+v without any proof of the configuration", r)
+			}
+			if r.status == http.StatusServiceUnavailable && r.outcome == "NotRun" {
+				refused++
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("got no refusal that says why")
+	}
+	f.control(`{"Outage":false}`)
+	for i := range nodes {
+		f.awaitCurrent(i)
+	}
+	for started := time.Now(); f.send(0, http.MethodGet).status != http.StatusOK; time.Sleep(100 * time.Millisecond) {
+		if time.Since(started) > 15*time.Second {
+			t.Fatalf("got %+v long after the store returned", f.send(0, http.MethodGet))
+		}
+	}
+}
+
+// TestMembers_ended loses two of three nodes for ever. Changes wait for them
+// until an operator asserts that they have ended.
+func TestMembers_ended(t *testing.T) {
+	f := start(t)
+	ctx := context.Background()
+	s, err := f.admin(0).Status(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Node(1).Kill()
+	f.Node(2).Kill()
+	done, err := f.publish(0, func(s *set.Set) { s.Limits[0].Rate++ })
+	if err != nil || done.InForce {
+		t.Fatalf("got %+v, %v, want a publish that is stored and not in force", done, err)
+	}
+	var e message.Ended
+	for _, m := range s.Roster {
+		if m != s.Member {
+			e.Members = append(e.Members, m)
+		}
+	}
+	if done, err = f.admin(0).Ended(ctx, e); err != nil || !done.InForce {
+		t.Fatalf("got %+v, %v after the members were asserted to have ended", done, err)
+	}
+	if done, err = f.publish(0, func(s *set.Set) { s.Keys = nil }); err != nil || !done.InForce {
+		t.Errorf("got %+v, %v, want a publish in force", done, err)
+	}
+	records, err := f.admin(0).Audit(ctx, 2)
+	if err != nil || len(records) != 2 || len(records[1].Changes) != 2 || records[1].Changes[0].Kind != "Member" {
+		t.Errorf("got the audit trail %+v, %v, want the assertion", records, err)
+	}
+}
--- /dev/null
+++ b/internal/config/publisher/assertion.go
@@ -0,0 +1,84 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/config/audit"
+	"filbertturn.example/filbertturn/internal/config/diff"
+	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/platform/store"
+)
+
+// Assertion is an operator's word that members have stopped for ever. It makes a
+// revision of its own with the same set, so that it stands in the audit trail.
+type Assertion struct {
+	Members  []member.Member
+	Known    head.Head // Newest head that the caller knows, or the zero value.
+	Operator string    // Name for the audit trail.
+	Time     time.Time // Time for the audit trail.
+
+	// Next returns the head that follows base with a new revision and without
+	// the members, or false if base shows that they have ended already.
+	Next func(base head.Head, revision uint64) (head.Head, bool)
+}
+
+// Assert writes an assertion and returns the head that holds it. Repeats are
+// harmless. Its errors are RequestError and those of Publish but for conflicts.
+func (p *Publisher) Assert(ctx context.Context, a Assertion) (head.Head, error) {
+	switch {
+	case a.Next == nil:
+		return head.Head{}, &RequestError{Field: "Next", Message: "is missing"}
+	case a.Operator == "" || len(a.Operator) > maxNameSize:
+		return head.Head{}, &RequestError{Field: "Operator", Message: "is empty or too long"}
+	case len(a.Members) == 0:
+		return head.Head{}, &RequestError{Field: "Members", Message: "is empty"}
+	}
+	var err error = &ContentionError{Commits: maxCommits}
+	unsure := false
+	for range maxCommits {
+		var (
+			h         head.Head
+			conflict  *store.ConflictError
+			ambiguous *store.AmbiguousError
+		)
+		h, err = p.assert(ctx, a)
+		if err == nil {
+			return h, nil
+		}
+		unsure = unsure || errors.As(err, &ambiguous)
+		if !errors.As(err, &ambiguous) && !errors.As(err, &conflict) {
+			break
+		}
+	}
+	return head.Head{}, failure(unsure, a.publishID(), err)
+}
+
+// assert reads the head and, unless it shows that the members have ended,
+// commits once.
+func (p *Publisher) assert(ctx context.Context, a Assertion) (head.Head, error) {
+	base, at, err := p.readHead(ctx)
+	if err != nil {
+		return head.Head{}, err
+	}
+	if reverts(a.Known, base) {
+		return head.Head{}, &RevertedError{Known: a.Known, Found: base}
+	}
+	next, needed := a.Next(base, base.Revision+1)
+	if !needed {
+		return base, nil
+	}
+	record := audit.Record{
+		Time: a.Time, Operator: a.Operator, From: base.Revision, To: next.Revision, PublishID: a.publishID(), Manifest: base.Manifest,
+	}
+	changes := make([]diff.Change, 0, len(a.Members))
+	for _, m := range a.Members {
+		changes = append(changes, diff.Change{Kind: "Member", Name: m.String(), Action: diff.Removed})
+	}
+	return next, p.commit(ctx, commit{at: at, head: next, record: audit.New(record, changes)})
+}
+
+func (a Assertion) publishID() string { return fmt.Sprintf("ended-%s", a.Members[0]) }
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -78,12 +78,11 @@
 	steward   steward.Steward
 	detector  suspend.Detector
 	started   time.Time
-	stored    head.Head // Head of the last read of the store.
-	revision  int64     // Store's revision of that head.
-	storeErr  error     // Error of the last read; nil after a good one.
-	storeAt   time.Time // Time of the last good read.
-	readAt    time.Time // Time of the last read.
-	asserted  []member.Member
+	stored    head.Head                    // Head of the last read of the store.
+	revision  int64                        // Store's revision of that head.
+	storeErr  error                        // Error of the last read; nil after a good one.
+	storeAt   time.Time                    // Time of the last good read.
+	readAt    time.Time                    // Time of the last read.
 	strangers map[netip.AddrPort]time.Time // Addresses outside the roster that asked.
 	ranAt     time.Time                    // Time at which the node began to run its head.
 	chunks    map[chunk.Address][]byte     // Manifest and chunks of the configuration that runs.
@@ -237,16 +236,8 @@
 	return s
 }
 
-// Assert records that members have ended, on the word of an operator. They are
-// removed by the next change of the roster.
-func (m *Membership) Assert(ended []member.Member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.asserted = append(m.asserted, ended...)
-}
-
-// isReader tells whether this node reads the store at every interval: a few in
-// each data centre do, and every node that is outside of the roster.
+// rank returns this node's place among the live members of its data centre, or
+// -1 if it is no member. The first few read the store at every interval.
 func (m *Membership) rank(now time.Time) int {
 	roster := m.live(now)
 	if !slices.Contains(roster, m.Self) {
--- a/internal/node/membership/store.go
+++ b/internal/node/membership/store.go
@@ -102,7 +102,6 @@
 		Silent:   m.state.Silent(now, steward.SilentAfter),
 		Joining:  m.state.Joining(now),
 		Resigned: m.state.Resigned(),
-		Ended:    m.asserted,
 		Rank:     m.stewardRank(now),
 	}
 	switch e := m.steward.Decide(now, in).(type) {
