--- a/internal/backend/admission/admission.go
+++ b/internal/backend/admission/admission.go
@@ -123,7 +123,7 @@
 func (q *Queue) Leave(now time.Time, id uint64) []Effect {
 	started, ok := q.running[id]
 	if !ok {
-		return nil
+		return q.Tick(now)
 	}
 	delete(q.running, id)
 	if q.hold == 0 {
--- /dev/null
+++ b/internal/backend/admission/admission_test.go
@@ -0,0 +1,192 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+)
+
+// request is what the test knows of a request that waits.
+type request struct {
+	Ticket
+	entered time.Time      // It may start at once whatever its deadline for waiting.
+	passed  map[string]int // Starts of other customers while it was its customer's oldest.
+}
+
+// model checks the effects of a queue.
+type model struct {
+	*rapid.T
+	queue   Queue
+	now     time.Time
+	slots   int
+	waiting []*request // By age.
+	running []uint64
+}
+
+// oldest reports whether no older request of the customer waits.
+func (m *model) oldest(r *request) bool {
+	for _, o := range m.waiting {
+		if o.Customer == r.Customer {
+			return o == r
+		}
+	}
+	return false
+}
+
+// take removes a request from those that wait.
+func (m *model) take(id uint64) *request {
+	for i, r := range m.waiting {
+		if r.ID == id {
+			m.waiting = append(append([]*request(nil), m.waiting[:i]...), m.waiting[i+1:]...)
+			return r
+		}
+	}
+	m.Fatalf("got an effect for request %d, want it to wait", id)
+	return nil
+}
+
+func (m *model) start(id uint64) {
+	for _, r := range m.waiting {
+		if r.ID == id && !m.oldest(r) {
+			m.Fatalf("got a start of request %d before an older one of %s", id, r.Customer)
+		}
+	}
+	r := m.take(id)
+	if !m.now.Before(r.Deadline) && r.entered.Before(m.now) {
+		m.Fatalf("got a start of request %d at %v, want none after its deadline %v", id, m.now, r.Deadline)
+	}
+	m.running = append(m.running, id)
+	if len(m.running) > m.slots {
+		m.Fatalf("got %d running, want at most %d", len(m.running), m.slots)
+	}
+	for _, w := range m.waiting {
+		if w.Customer == r.Customer || !m.oldest(w) {
+			continue
+		}
+		if w.passed[r.Customer]++; w.passed[r.Customer] > 1 {
+			m.Fatalf("got a second turn for %s before one for %s", r.Customer, w.Customer)
+		}
+	}
+}
+
+func (m *model) check(effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Start:
+			m.start(e.ID)
+		case Refuse:
+			m.take(e.ID)
+			if e.RetryAfter <= 0 {
+				m.Fatalf("got %+v, want a time to come back", e)
+			}
+		}
+	}
+	for _, r := range m.waiting {
+		if !m.now.Before(r.Deadline) {
+			m.Fatalf("got request %d waiting at %v, want it refused at %v", r.ID, m.now, r.Deadline)
+		}
+	}
+	q := &m.queue
+	if q.Length() != len(m.waiting) || q.Free() != m.slots-len(m.running) || q.Length() > 0 && q.Free() > 0 {
+		m.Fatalf("got length %d and %d free, want %d and %d, with no slot idle", q.Length(), q.Free(), len(m.waiting), m.slots-len(m.running))
+	}
+	if q.Next().IsZero() != (q.Length() == 0) {
+		m.Fatalf("got next %v with %d waiting", q.Next(), q.Length())
+	}
+}
+
+// TestQueue_Enter checks that every request gets exactly one outcome, none late
+// and none out of turn, and that slots are neither exceeded nor idle.
+func TestQueue_Enter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{T: t, now: time.Unix(1_800_000_000, 0)}
+		next := uint64(0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 10, 60}).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.SampledFrom([]int{0, 0, 0, 0, 1, 1, 2, 3, 4}).Draw(t, "act") {
+			case 0:
+				next++
+				r := &request{Ticket: Ticket{ID: next, Customer: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "customer"))}, passed: map[string]int{}}
+				r.entered = m.now
+				r.Deadline = m.now.Add(time.Duration(rapid.SampledFrom([]int{-1, 0, 5, 50}).Draw(t, "wait")) * time.Millisecond)
+				m.waiting = append(m.waiting, r)
+				m.check(m.queue.Enter(m.now, r.Ticket))
+			case 1:
+				id := uint64(0)
+				if n := len(m.running); n > 0 {
+					i := rapid.IntRange(0, n-1).Draw(t, "running")
+					id = m.running[i]
+					m.running = append(m.running[:i], m.running[i+1:]...)
+				}
+				m.check(m.queue.Leave(m.now, id))
+				m.check(m.queue.Leave(m.now, id))
+			case 2:
+				id := uint64(0)
+				if n := len(m.waiting); n > 0 {
+					id = m.waiting[rapid.IntRange(0, n-1).Draw(t, "waiting")].ID
+					m.take(id)
+				}
+				m.check(m.queue.Cancel(m.now, id))
+			case 3:
+				m.slots = rapid.IntRange(0, 4).Draw(t, "slots")
+				m.check(m.queue.SetSlots(m.now, m.slots))
+			case 4:
+				m.check(m.queue.Tick(m.now))
+			}
+		}
+	})
+}
+
+// TestQueue_Enter_flood has one customer fill the queue before others come.
+func TestQueue_Enter_flood(t *testing.T) {
+	var q Queue
+	now := time.Unix(1_800_000_000, 0)
+	q.SetSlots(now, 2)
+	ticket := func(id uint64, customer string) Ticket {
+		return Ticket{ID: id, Customer: customer, Deadline: now.Add(time.Minute)}
+	}
+	for id := range uint64(50) {
+		q.Enter(now, ticket(id, "flood"))
+	}
+	if got, want := q.Length(), LengthPerSlot*2; got != want {
+		t.Fatalf("got %d waiting, want %d", got, want)
+	}
+	for i, customer := range []string{"a", "b", "a"} {
+		effects := q.Enter(now, ticket(uint64(100+i), customer))
+		if len(effects) != 1 || effects[0].(Refuse).ID >= 100 {
+			t.Fatalf("got %+v, want a request of the flood refused for one of %s", effects, customer)
+		}
+	}
+	q.Leave(now, 0)
+	var got []uint64
+	for len(got) < 3 {
+		for id := range q.running {
+			for _, e := range q.Leave(now, id) {
+				got = append(got, e.(Start).ID)
+			}
+			break
+		}
+	}
+	if got[0] != 100 || got[1] != 101 {
+		t.Fatalf("got %v started, want the first of each other customer after one of the flood", got)
+	}
+}
+
+func BenchmarkQueue_Enter(b *testing.B) {
+	var q Queue
+	now := time.Unix(1_800_000_000, 0)
+	q.SetSlots(now, 5)
+	for i := range uint64(2 * LengthPerSlot) {
+		q.Enter(now, Ticket{ID: i, Customer: fmt.Sprint(i % 8), Deadline: now.Add(time.Hour)})
+	}
+	id := uint64(100)
+	for b.Loop() {
+		id++
+		q.Enter(now, Ticket{ID: id, Customer: "a", Deadline: now.Add(time.Hour)})
+		q.Cancel(now, id)
+	}
+}
--- a/internal/backend/lease/lease.go
+++ b/internal/backend/lease/lease.go
@@ -74,15 +74,17 @@
 	leases []*lease // Sorted by address.
 }
 
-// lease is an entry, or what is remembered of one that expired, so that a late
+// lease is an entry, or what is remembered of one that ended, so that a late
 // announcement does not revive it.
 type lease struct {
-	entry   Entry
-	expired bool
+	entry    Entry
+	expired  bool
+	released bool // It was removed, and its latest announcement may come again.
 }
 
-// memory is the time for which an expired lease is remembered.
-const memory = time.Minute
+// memory is the time for which an ended lease is remembered. An announcement
+// that is older than that could revive it.
+const memory = time.Hour
 
 // Heartbeat takes in an announcement. One that is older than another from the
 // same address changes nothing.
@@ -93,12 +95,12 @@
 		b.leases = slices.Insert(b.leases, i, &lease{entry: Entry{Announcement: Announcement{BackendServer: a.BackendServer}}, expired: true})
 	}
 	l := b.leases[i]
-	if found && outdated(a, l.entry.Announcement) {
+	if found && outdated(a, l) {
 		return effects
 	}
 	old, wasExpired := l.entry, l.expired
 	l.entry = Entry{Announcement: a, Since: old.Since, Expires: now.Add(TTL)}
-	l.expired = false
+	l.expired, l.released = false, false
 	restarted := wasExpired || old.Incarnation != a.Incarnation || old.Service != a.Service
 	if restarted || old.State != a.State {
 		l.entry.Since = now
@@ -114,11 +116,15 @@
 	return effects
 }
 
-func outdated(a, known Announcement) bool {
-	if a.Incarnation != known.Incarnation {
+func outdated(a Announcement, l *lease) bool {
+	known := l.entry
+	switch {
+	case a.Incarnation != known.Incarnation:
 		return a.Incarnation < known.Incarnation
+	case a.Sequence == known.Sequence:
+		return !l.released
 	}
-	return a.Sequence <= known.Sequence
+	return a.Sequence < known.Sequence
 }
 
 // Expire ends the leases whose time is over.
@@ -136,18 +142,19 @@
 	return effects
 }
 
-// Remove ends a lease at once and forgets it, so that the backend server may
-// come back with the same announcements.
+// Remove ends a lease at once, because another node owns the backend server
+// now. It may come back with the same announcement, but not with an older one.
 func (b *Book) Remove(a netip.AddrPort) []Effect {
 	i, found := b.find(a)
 	if !found {
 		return nil
 	}
 	l := b.leases[i]
-	b.leases = slices.Delete(b.leases, i, i+1)
+	l.released = true
 	if l.expired {
 		return nil
 	}
+	l.expired = true
 	return []Effect{Expired{Entry: l.entry}}
 }
 
