--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -9,11 +9,15 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"filbertturn.example/filbertturn/internal/standin/fault"
 	"filbertturn.example/filbertturn/internal/standin/ledger"
 )
 
+// timeout bounds a whole call; a full report takes less than a second.
+const timeout = 10 * time.Second
+
 // StatusError reports a backend server that answered with another status than 200.
 type StatusError struct {
 	BackendServer netip.AddrPort
@@ -62,6 +66,8 @@
 }
 
 func (c *Client) do(ctx context.Context, method string, b netip.AddrPort, path string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return err
