Ask empty homes less often and measure crashes and floods

Change: the least time for which an empty home is left alone doubles with each refusal in a row, up to the same bounds (50 ms, other data centres 200 ms).

--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -24,8 +24,9 @@
 	settleDelay = 20 * time.Millisecond  // Rest after which scarce tokens are returned.
 	returnDelay = 100 * time.Millisecond // Rest after which other tokens are returned.
 	evictDelay  = time.Minute            // Rest after which a customer is forgotten.
+	holdFirst   = 2 * time.Millisecond   // Least trust in an empty home, at first; it doubles.
 	holdEmpty   = 50 * time.Millisecond  // Longest trust in an empty home in the own data centre.
-	holdRemote  = 200 * time.Millisecond // The same for other homes, when they stay empty.
+	holdRemote  = 200 * time.Millisecond // The same for other homes.
 	holdFailed  = 200 * time.Millisecond // First pause for a home that does not answer.
 	holdLongest = 2 * time.Second        // Longest pause for one.
 	holdNotHome = time.Second            // Pause for a home without a share.
@@ -267,11 +268,14 @@
 func (b *Borrower) refusalHold(a *account, home member.Member, g loan.Grant) time.Duration {
 	switch g.Refusal {
 	case loan.Empty, loan.Overfull:
+		// A token that accrues may go to another entry. The longer a home stays
+		// empty, the more entries are likely to want it.
 		longest := holdEmpty
 		if b.rank(home) > 0 {
-			longest = min(holdRemote, holdEmpty<<min(a.peer(home).repeats, 4))
+			longest = holdRemote
 		}
-		return min(max(g.Available, time.Millisecond), longest)
+		least := holdFirst << min(a.peer(home).repeats, 10)
+		return min(max(g.Available, least), longest)
 	case loan.NotHome:
 		return holdNotHome
 	case loan.Stale:
--- a/internal/limit/borrower/measure_test.go
+++ b/internal/limit/borrower/measure_test.go
@@ -30,7 +30,7 @@
 
 // poisson sends requests at a part of the customer's rate through a number of
 // entries of a fleet without faults, and counts refusals.
-func poisson(l set.Limit, part float64, dataCentres, entries int, length time.Duration) load {
+func poisson(l set.Limit, part float64, dataCentres, entries int, length time.Duration, replaced func(*fleet)) load {
 	const settling = 10 * time.Second
 	rng := rand.New(rand.NewPCG(1, uint64(entries)))
 	f := newFleet(30, dataCentres, l)
@@ -59,6 +59,9 @@
 			}
 		}
 		f.advance(next - f.now)
+		if replaced != nil {
+			replaced(f)
+		}
 		level, last = min(float64(l.Burst), level+l.Rate*(f.now-last).Seconds()), f.now
 		got.sent++
 		f.take(f.nodes[rng.IntN(entries)])
@@ -93,7 +96,7 @@
 	for _, tc := range tests {
 		t.Run(tc.desc, func(t *testing.T) {
 			length := time.Duration(12000 / tc.limit.Rate * float64(time.Second))
-			got := poisson(tc.limit, 0.8, tc.dataCentres, tc.entries, length)
+			got := poisson(tc.limit, 0.8, tc.dataCentres, tc.entries, length, nil)
 			t.Logf("%d sent, %d refused, %d of them wrongly, %.2f asks per request", got.sent, got.refused, got.wrong, got.asks)
 			if part := float64(got.wrong) / float64(got.sent); part > tc.want {
 				t.Errorf("got %.4f of the requests refused wrongly, want at most %.4f", part, tc.want)
@@ -102,6 +105,48 @@
 	}
 }
 
+// TestBorrower_Take_replaced has one of three homes crash. It answers no more,
+// and the next roster with another home is in force some seconds later.
+func TestBorrower_Take_replaced(t *testing.T) {
+	const crash, next, inForce = 20 * time.Second, 22 * time.Second, 24 * time.Second
+	for _, entries := range []int{1, 30} {
+		l := set.Limit{Rate: 100, Burst: 100}
+		got := poisson(l, 0.8, 3, entries, time.Minute, func(f *fleet) {
+			if f.now >= crash && f.nodes[1].frozen == 0 {
+				f.nodes[1].frozen = time.Hour
+			}
+			if f.now >= next && len(f.heads) == 1 {
+				f.publish(f.pick([]int{0, 1, 0}), l, inForce-next)
+				for _, n := range f.nodes {
+					f.learn(n, true)
+				}
+			}
+			if f.now >= inForce {
+				for _, n := range f.nodes {
+					f.tell(n)
+				}
+			}
+		})
+		t.Logf("%d entries: %d sent, %d refused, %d of them wrongly", entries, got.sent, got.refused, got.wrong)
+		if part := float64(got.wrong) / float64(got.sent); part > 0.01 {
+			t.Errorf("got %.4f of a minute's requests refused wrongly through %d entries, want at most 0.01", part, entries)
+		}
+	}
+}
+
+// TestBorrower_Take_flood has one customer send ten times its rate.
+func TestBorrower_Take_flood(t *testing.T) {
+	for _, entries := range []int{1, 30} {
+		l := set.Limit{Rate: 100, Burst: 50}
+		got := poisson(l, 10, 3, entries, 30*time.Second, nil)
+		part := float64(got.sent-got.refused) / (l.Rate*30 + float64(l.Burst))
+		t.Logf("%d entries: %d sent, %.3f of the limit admitted, %.2f asks per request", entries, got.sent, part, got.asks)
+		if part < 0.9 || part > 1 {
+			t.Errorf("got %.3f of the limit admitted through %d entries, want from 0.9 to 1", part, entries)
+		}
+	}
+}
+
 const customers = 25_000
 
 var benchmarkLimit = set.Limit{Rate: 100, Burst: 50}
