Freeze a node while a customer exceeds its limit

Cause: the test of the limit with real processes killed a node but froze none. Change: one node is killed and restarted and another frozen for 1.5 s.

--- a/internal/check/fleet/policy_test.go
+++ b/internal/check/fleet/policy_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// TestLimit_exceeded sends several times the rate through all nodes, and kills
-// one, and counts what was admitted in every window.
+// TestLimit_exceeded sends several times the rate through all nodes, kills one
+// and freezes another, and counts what was admitted in every window.
 func TestLimit_exceeded(t *testing.T) {
 	f := start(t)
 	if _, err := f.publish(0, func(s *set.Set) { s.Limits[0] = set.Limit{Name: "counter", Rate: 30, Burst: 20} }); err != nil {
@@ -72,7 +72,15 @@
 	if err := f.Restart(2); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(3 * time.Second)
+	if err := f.Node(1).Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if err := f.Node(1).Thaw(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
 	results := stop()
 	admitted := make(map[string]bool)
 	for _, r := range results {
