Report uses sooner and weigh homes more evenly

Cause: over 320000 requests, a small customer (10 requests a second, burst 20, at 80% of its rate) was refused 357 times wrongly through one entry (0.11%) and 462 times through 30 (0.14%); the 16000 requests measured before had hidden that the target of 0.1% was missed. Change: uses are reported soon once a sixteenth of a share is lent, the own data centre weighs five to four against others of the region, and the tokens left are trusted for half a second.

--- a/internal/limit/borrower/borrower.go
+++ b/internal/limit/borrower/borrower.go
@@ -30,7 +30,7 @@
 	holdFailed  = 200 * time.Millisecond // First pause for a home that does not answer.
 	holdLongest = 2 * time.Second        // Longest pause for one.
 	holdNotHome = time.Second            // Pause for a home without a share.
-	trustLeft   = time.Second            // Trust in the number of tokens that a home had left.
+	trustLeft   = 500 * time.Millisecond // Trust in the number of tokens that a home had left.
 	maxWant     = 1 << 12                // Tokens of one ask.
 )
 
@@ -243,7 +243,7 @@
 // not known lately is tried, but one in another region only when the near ones
 // have none left.
 func (b *Borrower) score(now time.Time, a *account, home member.Member) int {
-	weights := [...]int{8, 4, 1}
+	weights := [...]int{5, 4, 1}
 	rank := b.rank(home)
 	left, known := a.left(now, home)
 	if !known && rank < 2 {
--- a/internal/limit/home/home.go
+++ b/internal/limit/home/home.go
@@ -28,7 +28,7 @@
 
 // scarcity is the part of a share that may be lent before borrowers are asked
 // to report and return soon.
-const scarcity = 4
+const scarcity = 16
 
 // retryNotActive is the time to come back while it is not known when a share
 // begins.
