--- a/internal/limit/home/home.go
+++ b/internal/limit/home/home.go
@@ -38,13 +38,13 @@
 type Step struct {
 	Sequence uint64 // Number of the head.
 	Epoch    uint64 // Number of its roster.
-	From     uint64 // Epoch of the earliest roster that Kept considers.
+	From     uint64 // Epoch of the earliest roster that Kept considers; that of the head before, or lower.
 
 	// Kept reports whether this node had a share of the customer's limit, one
 	// that is not zero, in the head that it ran before, in this one, and in
-	// every head between, whose rosters have the epochs From to Epoch. Nil
-	// means that it had not. It is called later, and has to give the same
-	// answers then.
+	// every head between. Nil means that it had not, and so does a From that
+	// leaves out a roster. It is called later, and has to give the same answers
+	// then.
 	Kept func(customer string) bool
 
 	// Resized reports whether the customer's share may differ from that of the
--- /dev/null
+++ b/internal/limit/home/home_test.go
@@ -0,0 +1,107 @@
+package home
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/limit/loan"
+	"filbertturn.example/filbertturn/internal/limit/share"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	small = share.Share{Rate: 1, Burst: 4}
+	large = share.Share{Rate: 1, Burst: 9}
+	wait  = loan.Hold(loan.DefaultLife)
+)
+
+func always(string) bool { return true }
+
+// served returns a home with a full bucket of a customer, and the time.
+func served(s share.Share) (*Home, time.Time) {
+	h := &Home{}
+	h.Begin(Step{Sequence: 1, Epoch: 1})
+	h.InForce(1, start)
+	now := start.Add(time.Minute)
+	h.Serve(now, s, ask(1, 0))
+	return h, now
+}
+
+func ask(sequence uint64, tokens int) loan.Ask {
+	return loan.Ask{
+		Customer: "lodge", Sequence: sequence, Want: tokens, Need: tokens,
+		Borrower: loan.Borrower{Address: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: 1},
+	}
+}
+
+func TestHome_Serve(t *testing.T) {
+	tests := []struct {
+		desc    string
+		share   share.Share
+		next    *Step // Head begun after the bucket was full.
+		inForce bool
+		later   time.Duration // Time between that and the ask.
+		want    int           // Tokens granted.
+		refusal loan.Refusal
+	}{
+		{desc: "full bucket", share: small, want: 4},
+		{desc: "no share", refusal: loan.NotHome},
+		{desc: "kept before it is in force", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1, Kept: always}, want: 4},
+		{desc: "new before it is in force", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1}, refusal: loan.NotActive},
+		{desc: "new while old loans live", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1}, inForce: true, later: wait - 1, refusal: loan.NotActive},
+		{desc: "new after old loans", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1}, inForce: true, later: wait, refusal: loan.Empty},
+		{desc: "new for three seconds", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1}, inForce: true, later: wait + 3*time.Second, want: 2},
+		{desc: "an unknown roster between", share: small, next: &Step{Sequence: 3, Epoch: 3, From: 2, Kept: always}, inForce: true, later: wait, refusal: loan.Empty},
+		{desc: "an older head", share: small, next: &Step{Sequence: 1, Epoch: 1}, want: 4},
+		{desc: "raised before it is in force", share: large, next: &Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always}, later: time.Minute, want: 4},
+		{desc: "raised", share: large, next: &Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always}, inForce: true, later: wait, want: 4},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			h, now := served(small)
+			if tc.next != nil {
+				h.Begin(*tc.next)
+			}
+			if tc.inForce {
+				h.InForce(tc.next.Sequence, now)
+			}
+			h.Serve(now, tc.share, ask(2, 0))
+			got := h.Serve(now.Add(tc.later), tc.share, ask(3, 20))
+			if got.Tokens != tc.want || got.Refusal != tc.refusal {
+				t.Errorf("got %+v, want %d tokens and refusal %v", got, tc.want, tc.refusal)
+			}
+		})
+	}
+}
+
+func TestHome_Serve_repeated(t *testing.T) {
+	h, now := served(large)
+	first := h.Serve(now, large, ask(5, 3))
+	if got := h.Serve(now, large, ask(5, 3)); got != first || got.Tokens != 3 {
+		t.Errorf("got %+v for a repeated ask, want %+v", got, first)
+	}
+	if got := h.Serve(now, large, ask(4, 3)); got.Refusal != loan.Stale {
+		t.Errorf("got %+v for an older ask, want it refused as stale", got)
+	}
+	if got := h.Serve(now, large, ask(6, 20)); got.Tokens != 6 {
+		t.Errorf("got %+v, want the 6 tokens that are left", got)
+	}
+}
+
+func TestHome_Trim(t *testing.T) {
+	h, now := served(small)
+	h.Serve(now, small, ask(2, 4))
+	h.Trim(now.Add(4 * time.Second))
+	if got := h.Customers(); got != 1 {
+		t.Errorf("got %d customers while the bucket fills, want 1", got)
+	}
+	now = now.Add(time.Minute)
+	h.Trim(now)
+	if got := h.Customers(); got != 0 {
+		t.Errorf("got %d customers after it was full for long, want 0", got)
+	}
+	if got := h.Serve(now, small, ask(3, 4)); got.Tokens != 4 {
+		t.Errorf("got %+v for the next request, want a full bucket", got)
+	}
+}
