Answer callers that stall in the middle of a body

Cause: a caller that stopped in the middle of its body got a closed connection instead of 504: net/http reads the rest of a body before it sends the answer, up to the read deadline, by which the write deadline had passed too. Ruled out: a missing timeout of the route; the entry had its failure after 3 s. Change: a refusal ends the reading of the body at once. Before: TestCaller_malformed/stalled_body got an unexpected EOF.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -98,6 +98,12 @@
 	defer cancel(nil)
 	if err != nil {
 		f := failure.From(err)
+		if c.ContentLength != 0 {
+			// net/http reads the rest of the body before it sends the answer. A
+			// caller that stalls must not hold it up; what has arrived is still
+			// read, so that the connection can go on.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		}
 		problem.Write(w, f)
 		e.Recorder.Done(c, f.Kind.Answer().Status, f, time.Since(started))
 		return
