Do not guess a share that was in force between two heads

A home with a share of 10 was not asked while its share was 3, and learnt of a head in which it is 5. Until that is in force a share does not grow; but the home compared with the 10 that it knew, and lent 5 while 3 were in force. Ruled out: keeping every head's shares, which would hold on to whole configurations. Change: when a share changed more than once since the last ask, and the latest change has not begun, the home refuses as not active for those few seconds.

--- a/internal/limit/home/home.go
+++ b/internal/limit/home/home.go
@@ -142,6 +142,9 @@
 	if b != nil && b.sequence < h.steps[first].Sequence {
 		b = nil // Another node may have been home since, or it is too long ago to tell.
 	}
+	if b != nil && h.skipped(now, b, customer) {
+		return nil, retryNotActive
+	}
 	if b == nil {
 		begin, known := h.begin(first, customer)
 		if !known {
@@ -176,6 +179,20 @@
 	return i
 }
 
+// skipped reports whether the share in force is unknown: it changed more than
+// once since the bucket was served, and its latest change has not begun. The
+// share between may have been smaller than those before and after.
+func (h *Home) skipped(now time.Time, b *bucket, customer string) bool {
+	changes, settled := 0, true
+	for i, s := range h.steps {
+		if s.Sequence > b.sequence && s.Resized != nil && s.Resized(customer) {
+			changes++
+			settled = h.settled(now, i)
+		}
+	}
+	return changes > 1 && !settled
+}
+
 // begin returns the time from which a customer without a bucket accrues tokens:
 // the beginning of the last step that started or changed its share.
 func (h *Home) begin(first int, customer string) (time.Time, bool) {
--- a/internal/limit/home/home_test.go
+++ b/internal/limit/home/home_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// TestHome_Serve_skipped has a share change twice without an ask in between.
+func TestHome_Serve_skipped(t *testing.T) {
+	h, now := served(large)
+	h.Begin(Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always})
+	h.InForce(2, now)
+	h.Begin(Step{Sequence: 3, Epoch: 1, From: 1, Kept: always, Resized: always})
+	now = now.Add(wait)
+	if got := h.Serve(now, small, ask(2, 20)); got.Refusal != loan.NotActive {
+		t.Errorf("got %+v, want it refused, since the share between is not known", got)
+	}
+	h.InForce(3, now)
+	if got := h.Serve(now.Add(wait), small, ask(3, 20)); got.Tokens != small.Burst {
+		t.Errorf("got %+v, want the burst once the new share has begun", got)
+	}
+}
+
 func TestHome_Serve_repeated(t *testing.T) {
 	h, now := served(large)
 	first := h.Serve(now, large, ask(5, 3))
