Refuse a share that changed in heads which the home did not run

Change: a head that does not follow the one before counts as two changes for each customer whose share may have changed. Resized now covers the heads between. Conclusion: where a node skips a head, a customer whose limit changed in it waits for the new head to be in force; all others go on.

--- a/internal/limit/home/home.go
+++ b/internal/limit/home/home.go
@@ -47,15 +47,16 @@
 	// then.
 	Kept func(customer string) bool
 
-	// Resized reports whether the customer's share may differ from that of the
-	// head before, through its limit or through the list of data centres. Nil
-	// means that no share differs.
+	// Resized reports whether the customer's share may have changed since the
+	// head that the node ran before, through its limit or through the list of
+	// data centres, also in a head between. Nil means that no share did.
 	Resized func(customer string) bool
 }
 
 // step is a Step and the time at which its new shares begin.
 type step struct {
 	Step
+	jump  bool      // The node did not run the head before this one.
 	begin time.Time // Zero while the head is not known to be in force.
 }
 
@@ -70,8 +71,10 @@
 // though they do not grow; others begin only after InForce. A head that the
 // node ran already is ignored.
 func (h *Home) Begin(s Step) {
+	jump := false
 	if n := len(h.steps); n > 0 {
 		last := h.steps[n-1]
+		jump = s.Sequence > last.Sequence+1
 		if s.Sequence <= last.Sequence {
 			return
 		}
@@ -82,7 +85,7 @@
 	if s.Kept == nil {
 		h.steps, h.buckets = nil, nil
 	}
-	h.steps = append(h.steps, step{Step: s})
+	h.steps = append(h.steps, step{Step: s, jump: jump})
 	if extra := len(h.steps) - maxSteps; extra > 0 {
 		h.steps = append([]step(nil), h.steps[extra:]...)
 	}
@@ -180,13 +183,17 @@
 }
 
 // skipped reports whether the share in force is unknown: it changed more than
-// once since the bucket was served, and its latest change has not begun. The
-// share between may have been smaller than those before and after.
+// once since the bucket was served, or in heads that the node did not run, and
+// its latest change has not begun. The share between may have been smaller than
+// those before and after.
 func (h *Home) skipped(now time.Time, b *bucket, customer string) bool {
 	changes, settled := 0, true
 	for i, s := range h.steps {
 		if s.Sequence > b.sequence && s.Resized != nil && s.Resized(customer) {
 			changes++
+			if s.jump {
+				changes++
+			}
 			settled = h.settled(now, i)
 		}
 	}
--- a/internal/limit/home/home_test.go
+++ b/internal/limit/home/home_test.go
@@ -55,6 +55,7 @@
 		{desc: "an unknown roster between", share: small, next: &Step{Sequence: 3, Epoch: 3, From: 2, Kept: always}, inForce: true, later: wait, refusal: loan.Empty},
 		{desc: "an older head", share: small, next: &Step{Sequence: 1, Epoch: 1}, want: 4},
 		{desc: "raised before it is in force", share: large, next: &Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always}, later: time.Minute, want: 4},
+		{desc: "changed in a head that was not run", share: small, next: &Step{Sequence: 3, Epoch: 1, From: 1, Kept: always, Resized: always}, later: time.Minute, refusal: loan.NotActive},
 		{desc: "raised", share: large, next: &Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always}, inForce: true, later: wait, want: 4},
 	}
 	for _, tc := range tests {
