Raise the default threshold to 18 and compare over three windows

Change: threshold 18; failure rates over 1, 3 and 10 s; an eighth of the rates is left out rather than a quarter; a healthy failure rate is 0.2% again; one latency counts 3.9 at most, so that five are needed; those that are out keep their place before others with like evidence.

--- a/internal/health/referee/baseline.go
+++ b/internal/health/referee/baseline.go
@@ -13,8 +13,6 @@
 	refreshInterval = 100 * time.Millisecond
 	slowDecay       = 30 * time.Second       // Time constant of the usual latency.
 	fastDecay       = 500 * time.Millisecond // Time constant of the present latency.
-	rateDecay       = 10 * time.Second       // Time constant of the usual failure rate.
-	quickDecay      = time.Second            // Time constant of the present failure rate.
 
 	rateMargin  = 1.25 // Allowance for the error of a failure rate's estimate.
 	minUsual    = 3.0  // Samples needed for a backend server's usual latency.
@@ -28,6 +26,10 @@
 	defaultSigma = 0.6
 )
 
+// rateWindows are the time constants of failure rates. The shorter ones show
+// early that the whole pool has begun to fail.
+var rateWindows = [...]time.Duration{time.Second, 3 * time.Second, 10 * time.Second}
+
 // decayed is a count and sums that fade exponentially.
 type decayed struct {
 	n, sum, squares float64
@@ -227,34 +229,31 @@
 	return out
 }
 
-// rate is a failure rate over two time constants.
-type rate struct {
-	usual, present decayed
-}
+// rate is a failure rate over each of rateWindows.
+type rate [len(rateWindows)]decayed
 
 // add counts events and failures among them.
 func (f *rate) add(now time.Time, events, failures int) {
-	f.usual.add(now, rateDecay, float64(events), float64(failures), 0)
-	f.present.add(now, quickDecay, float64(events), float64(failures), 0)
+	for i, window := range rateWindows {
+		f[i].add(now, window, float64(events), float64(failures), 0)
+	}
 }
 
 // othersRate returns the failure rate of the other backend servers in full
-// service, the usual or the present one, whichever is higher.
+// service, over the window in which it is highest.
 func (r *Referee) othersRate(s *server, pick func(*server) *rate) float64 {
-	usual, present := make(ordered, 0, len(r.servers)), make(ordered, 0, len(r.servers))
-	for _, o := range r.servers {
-		if o == s || o.stage != inService {
-			continue
-		}
-		f := pick(o)
-		if f.usual.n >= 1 {
-			usual = append(usual, f.usual.mean())
-		}
-		if f.present.n >= 1 {
-			present = append(present, f.present.mean())
+	highest := 0.0
+	rates := make(ordered, 0, len(r.servers))
+	for i := range rateWindows {
+		rates = rates[:0]
+		for _, o := range r.servers {
+			if f := &pick(o)[i]; o != s && o.stage == inService && f.n >= 1 {
+				rates = append(rates, f.mean())
+			}
 		}
+		highest = max(highest, rates.trimmed(), rates.middle())
 	}
-	return rateMargin * max(usual.trimmed(), usual.middle(), present.trimmed(), present.middle())
+	return rateMargin * highest
 }
 
 // middle returns the median of the sorted values.
@@ -263,11 +262,11 @@
 	return m
 }
 
-// trimmed sorts the values and returns their mean without the highest quarter,
+// trimmed sorts the values and returns their mean without the highest eighth,
 // so that a few faulty backend servers do not excuse one another.
 func (o ordered) trimmed() float64 {
 	slices.Sort(o)
-	o = o[:len(o)-len(o)/4]
+	o = o[:len(o)-len(o)/8]
 	if len(o) == 0 {
 		return 0
 	}
--- a/internal/health/referee/bench_test.go
+++ b/internal/health/referee/bench_test.go
@@ -1,10 +1,10 @@
 package referee_test
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/config/set"
@@ -30,6 +30,7 @@
 type act struct {
 	factor            float64 // Of its latency.
 	fail, wrong       float64 // Shares of requests and probes.
+	tail              float64 // Share that takes ten times as long.
 	spareProbes       bool    // Probes do not fail.
 	hang              bool
 	refuses           int // Owner that cannot connect plus one, or -1 for all.
@@ -53,7 +54,7 @@
 	detected             time.Duration // Zero without a detection.
 	falsely, rowFalsely  int           // Ejections of backend servers without a fault.
 	rowDetected          time.Duration // Of the baseline policy.
-	handedOver, restored bool
+	handedOver, restored int           // 1 if backend server 0 was handed over, and if all are in full service at the end.
 	serverHours          float64
 }
 
@@ -62,18 +63,6 @@
 	do func()
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 type node struct {
 	member member.Member
 	ledger evidence.Ledger
@@ -95,7 +84,7 @@
 	scenario
 	rng     *rand.Rand
 	now     time.Time
-	queue   events
+	queue   []event // Ordered by time.
 	nodes   [poolSize]*node
 	targets [poolSize]*target
 	home    referee.Referee
@@ -114,20 +103,25 @@
 	}
 	b.arrive()
 	for end := epochStart.Add(sc.length); b.now.Before(end); {
-		e := heap.Pop(&b.queue).(event)
+		e := b.queue[0]
+		b.queue = b.queue[1:]
 		b.now = e.at
 		e.do()
 	}
-	b.out.restored = true
+	b.out.restored = 1
 	for _, t := range b.targets {
-		b.out.restored = b.out.restored && b.nodes[t.owner].book.Allowed(b.now, t.addr) == 1
+		if b.nodes[t.owner].book.Allowed(b.now, t.addr) < 1 {
+			b.out.restored = 0
+		}
 	}
 	b.out.serverHours = sc.length.Hours() * poolSize
 	return b.out
 }
 
 func (b *bench) after(d time.Duration, do func()) {
-	heap.Push(&b.queue, event{b.now.Add(d), do})
+	e := event{b.now.Add(d), do}
+	i, _ := slices.BinarySearchFunc(b.queue, e, func(a, b event) int { return a.at.Compare(b.at) })
+	b.queue = slices.Insert(b.queue, i, e)
 }
 
 func (b *bench) behaviour(i int) act {
@@ -178,6 +172,9 @@
 	if route == "heavy" {
 		latency *= 20
 	}
+	if b.rng.Float64() < a.tail {
+		latency *= 10
+	}
 	failed, wrong := b.rng.Float64() < a.fail, b.rng.Float64() < a.wrong
 	failed = failed && (!probe || !a.spareProbes)
 	refused := a.refuses == -1 || a.refuses == t.owner+1
@@ -284,10 +281,8 @@
 	}
 	n.ledger.Own(t.addr, status)
 	wait := evidence.ProbeInterval
-	for _, s := range suspects {
-		if s == t.addr {
-			wait = evidence.SuspectProbe
-		}
+	if slices.Contains(suspects, t.addr) {
+		wait = evidence.SuspectProbe
 	}
 	since := b.now.Sub(t.probed)
 	if since >= wait && (t.probe == 0 || since >= n.ledger.Overdue(report.ProbeRoute)) && !a.starting {
@@ -313,7 +308,9 @@
 	for _, t := range b.targets {
 		if t.addr == h.Address {
 			n.ledger.Disown(h.Address)
-			b.out.handedOver = b.out.handedOver || t.addr == b.targets[0].addr
+			if t == b.targets[0] {
+				b.out.handedOver = 1
+			}
 			for j, o := range b.nodes {
 				if o.member == h.To {
 					t.owner = j
--- a/internal/health/referee/curve_test.go
+++ b/internal/health/referee/curve_test.go
@@ -10,48 +10,27 @@
 
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/health/evidence"
 	"filbertturn.example/filbertturn/internal/health/referee"
 	"filbertturn.example/filbertturn/internal/health/report"
 )
 
-func steady(factor float64) func(int, time.Duration) act {
-	return func(int, time.Duration) act { return act{factor: factor} }
+// from makes the first n backend servers behave differently from faultStart on.
+func from(n int, a act) func(int, time.Duration) act {
+	return pulse(n, a, time.Hour)
 }
 
-// one makes backend server 0 behave differently from faultStart on.
-func one(a act) func(int, time.Duration) act {
+// pulse makes them do so in the first 10 s of each period.
+func pulse(n int, a act, period time.Duration) func(int, time.Duration) act {
 	return func(i int, t time.Duration) act {
-		if i == 0 && t >= faultStart {
+		since := t - faultStart
+		if i < n && since >= 0 && (period == time.Hour || since%period < 10*time.Second) {
 			return a
 		}
 		return act{factor: 1}
 	}
 }
 
-// all makes the whole pool behave differently from faultStart on.
-func all(a act) func(int, time.Duration) act {
-	return func(_ int, t time.Duration) act {
-		if t >= faultStart {
-			return a
-		}
-		return act{factor: 1}
-	}
-}
-
-func flap(i int, t time.Duration) act {
-	if i == 0 && t >= faultStart && (t-faultStart)%(20*time.Second) < 10*time.Second {
-		return act{factor: 10}
-	}
-	return act{factor: 1}
-}
-
-func brief(i int, t time.Duration) act {
-	if t < faultStart+10*time.Second {
-		return flap(i, t)
-	}
-	return act{factor: 1}
-}
-
 // coldStart restarts half of the pool, which is slow at first.
 func coldStart(i int, t time.Duration) act {
 	if i >= poolSize/2 {
@@ -66,28 +45,29 @@
 const minute = time.Minute
 
 var faults = []scenario{
-	{desc: "10x slow", atFault: true, target: true, length: minute / 2, act: one(act{factor: 10})},
-	{desc: "4x slow", atFault: true, length: minute / 2, act: one(act{factor: 4})},
-	{desc: "30% errors", atFault: true, target: true, length: minute / 2, act: one(act{factor: 1, fail: 0.3})},
-	{desc: "30% errors, probes fine", atFault: true, length: minute / 2, act: one(act{factor: 1, fail: 0.3, spareProbes: true})},
-	{desc: "wrong answers", atFault: true, target: true, length: minute / 2, act: one(act{factor: 1, wrong: 1})},
-	{desc: "hang", atFault: true, target: true, length: minute / 2, act: one(act{factor: 1, hang: true})},
-	{desc: "refuses all owners", atFault: true, length: minute / 2, act: one(act{factor: 1, refuses: -1})},
-	{desc: "10x slow for 10 s", atFault: true, returns: true, length: minute, act: brief},
-	{desc: "flapping 10 s/10 s", atFault: true, length: minute, act: flap},
-	{desc: "10x slow, heavy route", atFault: true, length: minute / 2, act: one(act{factor: 10}), heavy: 0.1},
+	{desc: "10x slow", atFault: true, target: true, length: minute / 2, act: from(1, act{factor: 10})},
+	{desc: "4x slow", atFault: true, length: minute / 2, act: from(1, act{factor: 4})},
+	{desc: "30% errors", atFault: true, target: true, length: minute / 2, act: from(1, act{factor: 1, fail: 0.3})},
+	{desc: "30% errors, probes fine", atFault: true, length: minute / 2, act: from(1, act{factor: 1, fail: 0.3, spareProbes: true})},
+	{desc: "wrong answers", atFault: true, target: true, length: minute / 2, act: from(1, act{factor: 1, wrong: 1})},
+	{desc: "hang", atFault: true, target: true, length: minute / 2, act: from(1, act{factor: 1, hang: true})},
+	{desc: "refuses all owners", atFault: true, length: minute / 2, act: from(1, act{factor: 1, refuses: -1})},
+	{desc: "10x slow for 10 s", atFault: true, returns: true, length: minute, act: pulse(1, act{factor: 10}, 5*minute)},
+	{desc: "flapping 10 s/10 s", atFault: true, length: minute, act: pulse(1, act{factor: 10}, 20*time.Second)},
+	{desc: "10x slow, heavy route", atFault: true, length: minute / 2, act: from(1, act{factor: 10}), heavy: 0.1},
 }
 
 var noFaults = []scenario{
-	{desc: "nothing wrong", length: 2 * minute, act: steady(1)},
+	{desc: "nothing wrong", length: 2 * minute, act: from(0, act{})},
 	{desc: "0.1% errors", length: minute, act: func(int, time.Duration) act { return act{factor: 1, fail: 0.001} }},
-	{desc: "pool 10x slow", length: minute, act: all(act{factor: 10})},
-	{desc: "pool 30% errors", length: minute, act: all(act{factor: 1, fail: 0.3})},
-	{desc: "pool 5% errors", length: minute, act: all(act{factor: 1, fail: 0.05})},
+	{desc: "2% of answers 10x slow", length: minute, act: func(int, time.Duration) act { return act{factor: 1, tail: 0.02} }},
+	{desc: "pool 10x slow", length: minute, act: from(poolSize, act{factor: 10})},
+	{desc: "pool 30% errors", length: minute, act: from(poolSize, act{factor: 1, fail: 0.3})},
+	{desc: "pool 5% errors", length: minute, act: from(poolSize, act{factor: 1, fail: 0.05})},
 	{desc: "cold start of half", length: minute, act: coldStart},
-	{desc: "heavy route", length: minute, act: steady(1), heavy: 0.1},
-	{desc: "one-way cut", length: minute, act: one(act{factor: 1, refuses: 1}), handover: true},
-	{desc: "owner paused", length: minute, act: steady(1), pause: 3 * time.Second},
+	{desc: "heavy route", length: minute, act: from(0, act{}), heavy: 0.1},
+	{desc: "one-way cut", length: minute, act: from(1, act{factor: 1, refuses: 1}), handover: true},
+	{desc: "owner paused", length: minute, act: from(0, act{}), pause: 3 * time.Second},
 }
 
 // result sums up a scenario over seeds.
@@ -102,6 +82,15 @@
 func measure(sc scenario, threshold, sigma float64, seeds int) result {
 	sc.sigma = sigma
 	var m result
+	note := func(list []time.Duration, missed *int, d time.Duration) []time.Duration {
+		if d == 0 {
+			*missed++
+			return list
+		}
+		list = append(list, d)
+		slices.Sort(list)
+		return list
+	}
 	outcomes := make([]outcome, seeds)
 	var group sync.WaitGroup
 	for seed := range seeds {
@@ -112,27 +101,14 @@
 		m.falsely += o.falsely
 		m.rowFalsely += o.rowFalsely
 		m.serverHours += o.serverHours
-		if o.handedOver {
-			m.hands++
-		}
-		if o.restored {
-			m.restored++
-		}
-		m.detections, m.missed = note(m.detections, m.missed, o.detected)
-		m.rowDetections, m.rowMissed = note(m.rowDetections, m.rowMissed, o.rowDetected)
+		m.hands += o.handedOver
+		m.restored += o.restored
+		m.detections = note(m.detections, &m.missed, o.detected)
+		m.rowDetections = note(m.rowDetections, &m.rowMissed, o.rowDetected)
 	}
 	return m
 }
 
-func note(list []time.Duration, missed int, d time.Duration) ([]time.Duration, int) {
-	if d == 0 {
-		return list, missed + 1
-	}
-	list = append(list, d)
-	slices.Sort(list)
-	return list, missed
-}
-
 func summary(list []time.Duration, missed int) string {
 	if len(list) == 0 {
 		return "none"
@@ -178,8 +154,8 @@
 // BenchmarkCurve prints, for a range of thresholds, the median and worst
 // detection times and the false ejections per hour of a backend server.
 func BenchmarkCurve(b *testing.B) {
-	const seeds, sigma, repeats = 20, 0.6, 20
-	thresholds := []float64{4, 8, 12, 16, 20, 28}
+	const seeds, sigma, repeats = 20, 0.6, 5
+	thresholds := []float64{4, 8, 12, 18, 24, 32}
 	for range b.N {
 		var out strings.Builder
 		for _, sc := range slices.Concat(faults, noFaults) {
@@ -192,7 +168,7 @@
 				m := measure(sc, h, sigma, runs)
 				cell, row := summary(m.detections, m.missed), summary(m.rowDetections, m.rowMissed)
 				if !sc.atFault {
-					cell, row = rate(m.falsely, m.serverHours), rate(m.rowFalsely, m.serverHours)
+					cell, row = rateOf(m.falsely, m.serverHours), rateOf(m.rowFalsely, m.serverHours)
 				}
 				fmt.Fprintf(&out, " %s |", cell)
 				if i == len(thresholds)-1 {
@@ -204,43 +180,45 @@
 	}
 }
 
-func rate(n int, hours float64) string {
+func rateOf(n int, hours float64) string {
 	return fmt.Sprintf("%.2f (%d in %.0f h)", float64(n)/hours, n, hours)
 }
 
-// BenchmarkReferee_Submit measures a report on ten backend servers and its ruling.
+// BenchmarkReferee_Submit measures one report and its ruling: of one owner of
+// ten backend servers, and in a pool of 56 with an owner each.
 func BenchmarkReferee_Submit(b *testing.B) {
-	for _, size := range []int{10, 60} {
-		b.Run(fmt.Sprintf("%d backend servers", size), func(b *testing.B) {
-			w := &world{}
-			home := &referee.Referee{Pool: set.Pool{Name: "p", Floor: 50}, Term: 1}
-			now, bytes := epochStart, 0
-			var owners []*caretaker
-			for i := range size / 10 {
-				owners = append(owners, &caretaker{member: member.Member{Address: w.address(100 + i)}})
+	for _, size := range []struct{ owners, each int }{{1, 10}, {56, 1}} {
+		b.Run(fmt.Sprintf("%d owners of %d", size.owners, size.each), func(b *testing.B) {
+			w := &world{home: &referee.Referee{Pool: set.Pool{Name: "p", Floor: 50}, Term: 1}}
+			for i := range size.owners {
+				w.owners = append(w.owners, &caretaker{member: member.Member{Address: w.address(100 + i)}})
 			}
+			sent, received := 0, 0
 			for n := 0; b.Loop(); n++ {
-				o := owners[n%len(owners)]
+				o := w.owners[n%size.owners]
 				o.sequence++
 				p := report.Report{Pool: "p", Sequence: o.sequence, Echo: o.echo}
-				for i := range 10 {
+				for i := range size.each {
 					p.Servers = append(p.Servers, report.Server{
-						Address: w.address(n%len(owners)*10 + i), State: report.Ready, ReadyFor: time.Minute, Slots: 3, Busy: 1,
+						Address: w.address(n%size.owners*size.each + i), State: report.Ready, ReadyFor: time.Minute, Slots: 3, Busy: 1,
 						Samples: []report.Sample{
 							{Route: "", Count: 1, Answered: 1, Sum: -3.7, Squares: 13.7},
 							{Route: "route", Count: 2, Answered: 2, Sum: -7.2, Squares: 25.9},
 						},
 					})
 				}
-				encoded, _ := report.EncodeReport(p)
-				bytes = len(encoded)
-				now = now.Add(250 * time.Millisecond / time.Duration(len(owners)))
-				home.Submit(now, o.member, p)
-				for _, r := range home.Rule(now) {
-					o.echo = r.Stamp
+				now := epochStart.Add(evidence.ReportInterval * time.Duration(n) / time.Duration(size.owners))
+				w.home.Submit(now, o.member, p)
+				ruling := w.home.Rule(now)[0]
+				o.echo = ruling.Stamp
+				if n == 9*size.owners {
+					question, _ := report.EncodeReport(p)
+					answer, _ := report.EncodeRuling(ruling)
+					sent, received = len(question), len(answer)
 				}
 			}
-			b.ReportMetric(float64(bytes), "bytes/report")
+			b.ReportMetric(float64(sent), "bytes/report")
+			b.ReportMetric(float64(received), "bytes/ruling")
 		})
 	}
 }
--- a/internal/health/referee/score.go
+++ b/internal/health/referee/score.go
@@ -11,16 +11,16 @@
 
 // DefaultThreshold is the evidence needed for an ejection, as the logarithm of
 // a likelihood ratio, in pools that set none.
-const DefaultThreshold = 16.0
+const DefaultThreshold = 18.0
 
 // Parameters of the likelihood ratios.
 const (
 	slowFactor   = 3.0  // A backend server at fault is this much slower,
 	faultRate    = 0.3  // fails at least this share of its requests,
-	healthyRate  = 1e-3 // while a healthy one fails so many
+	healthyRate  = 2e-3 // while a healthy one fails so many
 	healthyWrong = 5e-5 // and answers so many wrongly.
 
-	maxGain      = 4.5  // Evidence of one latency at most.
+	maxGain      = 3.9  // Evidence of one latency at most.
 	maxRate      = 0.8  // Highest failure rate taken for the pool's own.
 	scoreBound   = 1.25 // Scores rise to this times the threshold.
 	suspectScore = 3.0
--- a/internal/health/referee/stage.go
+++ b/internal/health/referee/stage.go
@@ -104,7 +104,7 @@
 			wanted = append(wanted, s)
 		}
 	}
-	slices.SortStableFunc(wanted, r.worse)
+	slices.SortStableFunc(wanted, func(a, b *server) int { return a.compare(b, now) })
 	floor := r.floor()
 	var kept []*server
 	for _, s := range wanted[:min(len(wanted), max(up-floor, 0))] {
@@ -122,17 +122,21 @@
 	return kept
 }
 
-// worse orders the backend servers with the most evidence first.
-func (r *Referee) worse(a, b *server) int {
-	if c := cmp.Compare(b.rank(), a.rank()); c != 0 {
+// compare orders the backend servers with the most evidence first. Those on
+// probation come last, and those that are out come before others, so that two
+// with like evidence do not take turns.
+func (s *server) compare(o *server, now time.Time) int {
+	if c := cmp.Compare(s.rank(now), o.rank(now)); c != 0 {
 		return c
 	}
-	return cmp.Compare(b.scores.highest(), a.scores.highest())
+	return cmp.Compare(o.scores.highest(), s.scores.highest())
 }
 
-// rank puts those on probation last.
-func (s *server) rank() int {
-	if s.stage == onProbation {
+func (s *server) rank(now time.Time) int {
+	switch {
+	case s.stage == onProbation:
+		return 2
+	case s.out(now):
 		return 0
 	}
 	return 1
