Show in the status that the store was restored to an older state

Cause: the adapter kept answers with an older head from the decision code, so that a restored store was only in the log, where a merely late answer looked the same. Change: the decision code sees every answer; status names a restored store and the command that puts it right; the status page checks the clocks first.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -130,6 +130,7 @@
 		Live:           s.Live,
 		StoreError:     s.StoreError,
 		StoreAt:        s.StoreAt,
+		StoreBehind:    s.StoreBehind,
 		BackendServers: a.Owner.Statuses(now),
 		Owners:         len(a.Owners.Owners(now)),
 	})
--- a/internal/admin/command/status.go
+++ b/internal/admin/command/status.go
@@ -54,6 +54,8 @@
 		row("Waits for", m)
 	}
 	switch {
+	case s.StoreBehind:
+		row("Store", "was restored to an older state; nothing can be published until config reinstate")
 	case s.StoreError != "":
 		row("Store", s.StoreError)
 	case !s.StoreAt.IsZero():
--- a/internal/admin/message/message.go
+++ b/internal/admin/message/message.go
@@ -66,6 +66,7 @@
 	Pending        []member.Member `json:",omitempty"` // Members that changes still wait for, in the roster or not.
 	Live           int             // Members of the roster that were heard of lately.
 	StoreError     string          `json:",omitempty"`
+	StoreBehind    bool            `json:",omitempty"` // The store was restored to an older state; see config reinstate.
 	StoreAt        time.Time       // Last good read of the store by this node; zero if there was none.
 	BackendServers []owner.Status
 	Owners         int // Owners whose summaries this node has.
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -214,21 +214,26 @@
 	Live       int
 	StoreError string    // Error of the last read of the store; empty after a good one.
 	StoreAt    time.Time // Time of the last good read; zero if there was none.
+
+	// StoreBehind tells that the store was restored to an older state.
+	StoreBehind bool
 }
 
 // Status returns the node's view at now.
 func (m *Membership) Status(now time.Time) Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.checkClock(now)
 	s := Status{
-		Member:   m.Self,
-		Head:     m.state.Head(),
-		Verdict:  m.state.Current(now),
-		Accepted: m.state.Accepted(),
-		InForce:  m.state.InForce(now),
-		Newest:   m.state.Newest(),
-		Live:     len(m.live(now)),
-		StoreAt:  m.storeAt,
+		StoreBehind: m.state.StoreBehind(),
+		Member:      m.Self,
+		Head:        m.state.Head(),
+		Verdict:     m.state.Current(now),
+		Accepted:    m.state.Accepted(),
+		InForce:     m.state.InForce(now),
+		Newest:      m.state.Newest(),
+		Live:        len(m.live(now)),
+		StoreAt:     m.storeAt,
 	}
 	if m.storeErr != nil {
 		s.StoreError = m.storeErr.Error()
--- a/internal/node/membership/store.go
+++ b/internal/node/membership/store.go
@@ -31,13 +31,16 @@
 		return
 	}
 	m.storeAt = asked
+	m.state.ObserveStore(asked, h)
 	if h.Sequence < m.state.Head().Sequence {
-		m.Log.Error().Uint64("Stored", h.Sequence).Uint64("Running", m.state.Head().Sequence).
-			Msg("store is older than the head that runs; nothing is reverted")
+		// Without StoreBehind the answer was merely late.
+		if m.state.StoreBehind() {
+			m.Log.Error().Uint64("Stored", h.Sequence).Uint64("Running", m.state.Head().Sequence).
+				Msg("store is older than the head that runs; nothing is reverted")
+		}
 		return
 	}
 	m.stored, m.revision = h, revision
-	m.state.ObserveStore(asked, h)
 	m.wakeLoader()
 }
 
