Test that a home starts anew after another one

Change: a row in the home's table; it was seen failing with the rule taken out. Result: go test -race ./internal/limit/home passes in 1.0 s.

--- a/internal/limit/home/home_test.go
+++ b/internal/limit/home/home_test.go
@@ -18,6 +18,8 @@
 
 func always(string) bool { return true }
 
+func never(string) bool { return false }
+
 // served returns a home with a full bucket of a customer, and the time.
 func served(s share.Share) (*Home, time.Time) {
 	h := &Home{}
@@ -53,6 +55,7 @@
 		{desc: "new after old loans", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1}, inForce: true, later: wait, refusal: loan.Empty},
 		{desc: "new for three seconds", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1}, inForce: true, later: wait + 3*time.Second, want: 2},
 		{desc: "an unknown roster between", share: small, next: &Step{Sequence: 3, Epoch: 3, From: 2, Kept: always}, inForce: true, later: wait, refusal: loan.Empty},
+		{desc: "another was home between", share: small, next: &Step{Sequence: 2, Epoch: 2, From: 1, Kept: never}, inForce: true, later: wait, refusal: loan.Empty},
 		{desc: "an older head", share: small, next: &Step{Sequence: 1, Epoch: 1}, want: 4},
 		{desc: "raised before it is in force", share: large, next: &Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always}, later: time.Minute, want: 4},
 		{desc: "changed in a head that was not run", share: small, next: &Step{Sequence: 3, Epoch: 1, From: 1, Kept: always, Resized: always}, later: time.Minute, refusal: loan.NotActive},
