--- a/internal/limit/home/home_test.go
+++ b/internal/limit/home/home_test.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// TestHome_Serve_lowered returns tokens that were lent before a limit fell.
+func TestHome_Serve_lowered(t *testing.T) {
+	h, now := served(large)
+	h.Serve(now, large, ask(2, 9))
+	h.Begin(Step{Sequence: 2, Epoch: 1, From: 1, Kept: always, Resized: always})
+	a := ask(3, 20)
+	a.Settlements = []loan.Settlement{{Sequence: 2, Closed: true}}
+	if got := h.Serve(now, small, a); got.Tokens != small.Burst {
+		t.Errorf("got %+v, want no more than the burst of %d", got, small.Burst)
+	}
+}
+
 func TestHome_Trim(t *testing.T) {
 	h, now := served(small)
 	h.Serve(now, small, ask(2, 4))
