--- a/internal/node/registrar/registrar_test.go
+++ b/internal/node/registrar/registrar_test.go
@@ -90,6 +90,31 @@
 	}
 }
 
+func TestRegistrar_AnswerAnnounce(t *testing.T) {
+	tests := []struct {
+		desc         string
+		state, slots uint32
+		want         bool
+	}{
+		{"good", 1, 3, true},
+		{"unknown state", 3, 3, false},
+		{"state beyond a byte", 257, 3, false},
+		{"no slots", 1, 0, false},
+		{"too many slots", 1, 1<<32 - 1, false},
+	}
+	for _, tt := range tests {
+		r, o, _ := newRegistrar()
+		payload, err := proto.Marshal(&peerpb.Announcement{BackendServer: "10.0.0.1:9000", Service: "s", Slots: tt.slots, State: tt.state})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.AnswerAnnounce(payload); (err == nil) != tt.want {
+			t.Errorf("%s: got %v, accepted should be %v", tt.desc, err, tt.want)
+		}
+		checkOwned(t, o, tt.want)
+	}
+}
+
 func FuzzRegistrar_Handler(f *testing.F) {
 	f.Add(good)
 	f.Add(`{"Slots":1e400}`)
--- a/internal/request/header/header.go
+++ b/internal/request/header/header.go
@@ -31,6 +31,10 @@
 // minSecret is the shortest text, in bytes, that is looked up as a key.
 const minSecret = 8
 
+// maxSuffix is the longest rest of a run, in bytes, that is looked up as a key.
+// It bounds the work that a caller can cause.
+const maxSuffix = 256
+
 // Filter removes fields. Its zero value removes hop-by-hop fields and fields
 // that belong to the fleet.
 type Filter struct {
@@ -102,8 +106,10 @@
 	return false
 }
 
-// holdsSecret looks at the whole text and at its parts between the separators
-// of header fields, cookies and query strings.
+// holdsSecret looks at the whole text and at the parts that callers may put a
+// key between: words, the parts of header fields, cookies and query strings, and
+// runs of the characters of bearer tokens (RFC 6750, section 2.1), whole or after
+// a name and an equals sign.
 func (f Filter) holdsSecret(text string) bool {
 	if f.Secret == nil || len(text) < minSecret {
 		return false
@@ -111,14 +117,42 @@
 	if f.Secret(text) {
 		return true
 	}
-	for part := range strings.FieldsFuncSeq(text, isSeparator) {
-		if len(part) >= minSecret && len(part) < len(text) && f.Secret(part) {
-			return true
+	for _, separates := range []func(rune) bool{isListSeparator, isFieldSeparator, isNotToken} {
+		for part := range strings.FieldsFuncSeq(text, separates) {
+			if len(part) < len(text) && f.isSecret(part) {
+				return true
+			}
+		}
+	}
+	return f.followsName(text)
+}
+
+func (f Filter) isSecret(text string) bool {
+	return len(text) >= minSecret && f.Secret(text)
+}
+
+// followsName looks behind each equals sign and slash of a run of token
+// characters, since a token may hold both.
+func (f Filter) followsName(text string) bool {
+	for run := range strings.FieldsFuncSeq(text, isNotToken) {
+		for i := range len(run) {
+			if (run[i] == '=' || run[i] == '/') && len(run)-i-1 <= maxSuffix && f.isSecret(run[i+1:]) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-func isSeparator(r rune) bool {
-	return strings.ContainsRune(" \t,;=&?\"'/:<>()", r)
+func isListSeparator(r rune) bool {
+	return strings.ContainsRune(" \t,;\"'", r)
+}
+
+func isFieldSeparator(r rune) bool {
+	return strings.ContainsRune(" \t,;=&?\"'/:<>()[]{}|", r)
+}
+
+func isNotToken(r rune) bool {
+	letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+	return !letter && !strings.ContainsRune("-._~+/=", r)
 }
