Turn away from owners that cannot be reached

Cause: an entry sent requests to an owner that had died until its summary expired, 5 s later. Ruled out: a shorter life of summaries, which costs traffic that grows with the fleet. Change: an owner that a request did not reach, or was lost with, gets none for a second while others can take it.

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -74,6 +74,10 @@
 	}
 	if o.err == nil {
 		f.pace(a.call.Route.Name).Observe(time.Now(), time.Since(a.started))
+		return
+	}
+	if k := failure.From(o.err).Kind; k == kind.UnreachablePeer || k == kind.LostPeer {
+		f.directory.Miss(time.Now(), a.to)
 	}
 }
 
--- a/internal/node/forwarder/forwarder_test.go
+++ b/internal/node/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -12,6 +13,8 @@
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/node/forwarder"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/request/call"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -153,3 +156,26 @@
 		t.Errorf("got %d attempts for a caller that has left, want at most one", f.calls)
 	}
 }
+
+// TestForwarder_Forward_lostOwner checks that requests turn away from an owner
+// that has gone down, long before its summary expires.
+func TestForwarder_Forward_lostOwner(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	f := &fake{answer: answerOf(200, "text", 4, io.EOF)}
+	w := newForwarder(f)
+	mesh := link.New(nil, nil, nil)
+	defer mesh.Close()
+	w.Courier = &courier.Courier{Mesh: mesh}
+	w.Hear(time.Now(), directory.Summary{
+		Owner: l.Addr().(*net.TCPAddr).AddrPort(), Services: []directory.Capacity{{Slots: 300, Free: 300, BackendServers: 100}},
+	})
+	for i := range 200 {
+		if _, err := w.Forward(t.Context(), &call.Call{Method: "POST"}, nil); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+}
--- a/internal/route/directory/directory.go
+++ b/internal/route/directory/directory.go
@@ -11,6 +11,10 @@
 // Lifetime is the age after which an owner's summary is no longer used.
 const Lifetime = 5 * time.Second
 
+// missTime is the time for which an owner that could not be reached gets no
+// request that another owner can take. Its summary lives longer than that.
+const missTime = time.Second
+
 // Capacity is what an owner says of its eligible backend servers of a service.
 type Capacity struct {
 	Service        string
@@ -39,6 +43,7 @@
 type owner struct {
 	summary Summary
 	heard   time.Time
+	missed  time.Time      // Time of the last request that did not reach it or was lost with it.
 	free    map[string]int // Free slots less the requests sent since the summary.
 }
 
@@ -95,7 +100,10 @@
 // backend server of the service. It compares two random candidates, each drawn
 // in proportion to its slots, and takes the one with more free slots.
 func (d *Directory) Pick(now time.Time, c Choice) (netip.AddrPort, bool) {
-	candidates, total := d.candidates(now, c)
+	candidates, total := d.candidates(now, c, missTime)
+	if total == 0 {
+		candidates, total = d.candidates(now, c, 0)
+	}
 	if total == 0 {
 		return netip.AddrPort{}, false
 	}
@@ -114,12 +122,13 @@
 	slots int
 }
 
-func (d *Directory) candidates(now time.Time, c Choice) ([]candidate, int) {
+// candidates leaves out owners that were missed less than the given time ago.
+func (d *Directory) candidates(now time.Time, c Choice, missed time.Duration) ([]candidate, int) {
 	var list []candidate
 	total := 0
 	for _, address := range d.order {
 		o := d.owners[address]
-		if c.Exclude[address] || now.Sub(o.heard) > Lifetime {
+		if c.Exclude[address] || now.Sub(o.heard) > Lifetime || now.Sub(o.missed) < missed {
 			continue
 		}
 		for _, s := range o.summary.Services {
@@ -173,6 +182,13 @@
 	}
 }
 
+// Miss notes that an owner could not be reached or was lost with a request.
+func (d *Directory) Miss(now time.Time, address netip.AddrPort) {
+	if o := d.owners[address]; o != nil {
+		o.missed = now
+	}
+}
+
 // Owners returns the owners that were heard within Lifetime.
 func (d *Directory) Owners(now time.Time) []Summary {
 	var list []Summary
