--- /dev/null
+++ b/internal/request/problem/problem_test.go
@@ -0,0 +1,52 @@
+package problem_test
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/problem"
+)
+
+// TestWrite checks that header and document of every kind say the same, and
+// that waits are rounded up.
+func TestWrite(t *testing.T) {
+	for _, k := range kind.All() {
+		for _, wait := range []time.Duration{0, time.Millisecond, time.Second, 1001 * time.Millisecond} {
+			w := httptest.NewRecorder()
+			problem.Write(w, &failure.Failure{Kind: k, RetryAfter: wait, Detail: "d", Err: strconv.ErrRange})
+			var got problem.Document
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+				t.Fatal(err)
+			}
+			want := k.Answer()
+			if w.Code != want.Status || got.Status != w.Code || got.Kind != k.String() || got.Outcome != want.Outcome || got.Detail != "d" ||
+				w.Header().Get("Request-Outcome") != string(want.Outcome) || w.Header().Get("Content-Type") != problem.ContentType {
+				t.Errorf("%s: got %d, %v, %+v, want %+v", k, w.Code, w.Header(), got, want)
+			}
+			checkWait(t, k, wait, w.Header().Get("Retry-After"), got.RetryAfter)
+		}
+	}
+}
+
+func checkWait(t *testing.T, k kind.Kind, wait time.Duration, seconds, exact string) {
+	t.Helper()
+	if !k.Answer().Retry {
+		if seconds != "" || exact != "" {
+			t.Errorf("%s: got waits %q and %q, want none", k, seconds, exact)
+		}
+		return
+	}
+	if wait == 0 {
+		wait = problem.DefaultRetryAfter
+	}
+	n, err := strconv.Atoi(seconds)
+	told := time.Duration(n) * time.Second
+	if d, _ := time.ParseDuration(exact); err != nil || told < wait || told-wait >= time.Second || d != wait {
+		t.Errorf("%s: got waits %q and %q, want %s", k, seconds, exact, wait)
+	}
+}
