Let summaries name their lifetime, and refuse expired certificates

Cause: at 490 members owners send their summaries every 9.8 s, and entries forgot them after 5 s. An expired certificate showed only as peers that do not answer, and a restored store was logged at every read. Change: a summary names its lifetime, three intervals and 5 s at least; a node does not start with an expired certificate; the restored store is logged once; a lease that ends on a change of owner is no warning.

--- a/internal/node/identity/identity.go
+++ b/internal/node/identity/identity.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return Identity{}, fmt.Errorf("load certificate and key: %w", err)
 	}
+	if now := time.Now(); now.After(pair.Leaf.NotAfter) {
+		return Identity{}, fmt.Errorf("load certificate: %s expired at %s", certificate, pair.Leaf.NotAfter.Format(time.RFC3339))
+	}
 	pemBytes, err := os.ReadFile(authority) //nolint:gosec // The path is a setting of the operator.
 	if err != nil {
 		return Identity{}, fmt.Errorf("load authority: %w", err)
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -83,6 +83,7 @@
 	storeErr  error                        // Error of the last read; nil after a good one.
 	storeAt   time.Time                    // Time of the last good read.
 	readAt    time.Time                    // Time of the last read.
+	reverted  bool                         // The log says that the store was restored to an older state.
 	strangers map[netip.AddrPort]time.Time // Addresses outside the roster that asked.
 	ranAt     time.Time                    // Time at which the node began to run its head.
 	chunks    map[chunk.Address][]byte     // Manifest and chunks of the configuration that runs.
--- a/internal/node/membership/store.go
+++ b/internal/node/membership/store.go
@@ -34,12 +34,14 @@
 	m.state.ObserveStore(asked, h)
 	if h.Sequence < m.state.Head().Sequence {
 		// Without StoreBehind the answer was merely late.
-		if m.state.StoreBehind() {
+		if m.state.StoreBehind() && !m.reverted {
+			m.reverted = true
 			m.Log.Error().Uint64("Stored", h.Sequence).Uint64("Running", m.state.Head().Sequence).
 				Msg("store is older than the head that runs; nothing is reverted")
 		}
 		return
 	}
+	m.reverted = false
 	m.stored, m.revision = h, revision
 	m.wakeLoader()
 }
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -147,7 +147,7 @@
 	}
 	delete(o.servers, e.BackendServer)
 	s.close()
-	o.Log.Warn().Stringer("BackendServer", e.BackendServer).Msg("lease of backend server expired")
+	o.Log.Info().Stringer("BackendServer", e.BackendServer).Msg("lease of backend server expired")
 }
 
 // decline gives a backend server up, so that its heartbeats go to another node.
--- a/internal/node/registrar/registrar.go
+++ b/internal/node/registrar/registrar.go
@@ -37,6 +37,7 @@
 	summaryFloor    = time.Second           // Shortest time between summaries without a change.
 	summaryPerNode  = 20 * time.Millisecond // Time added to it by each member, which bounds the traffic.
 	summaryTimeout  = time.Second
+	lifetimes       = 3                     // Intervals after which a summary is no longer used.
 	changeDelay     = 20 * time.Millisecond // Time that gathers changes into one summary.
 )
 
@@ -277,6 +278,7 @@
 	r.sequence++
 	w := &peerpb.Summary{
 		Owner: r.Self.Address.String(), DataCentre: r.Self.DataCentre, Incarnation: r.Self.Incarnation, Sequence: r.sequence,
+		LifetimeNanos: int64(max(directory.DefaultLifetime, lifetimes*Interval(len(r.Members.Live(now))))),
 	}
 	r.mu.Unlock()
 	for _, c := range r.Owner.Capacities(now) {
@@ -349,6 +351,7 @@
 	}
 	s := directory.Summary{
 		Owner: address, DataCentre: w.GetDataCentre(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(),
+		Lifetime: time.Duration(w.GetLifetimeNanos()),
 	}
 	for _, c := range w.GetServices() {
 		s.Services = append(s.Services, directory.Capacity{
--- a/internal/route/directory/directory.go
+++ b/internal/route/directory/directory.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Lifetime is the age after which an owner's summary is no longer used.
-const Lifetime = 5 * time.Second
+// DefaultLifetime is the lifetime of a summary that names none.
+const DefaultLifetime = 5 * time.Second
 
 // missTime is the time for which an owner that could not be reached gets no
 // request that another owner can take. Its summary lives longer than that.
@@ -30,6 +30,7 @@
 	DataCentre  string
 	Incarnation uint64
 	Sequence    uint64
+	Lifetime    time.Duration // Age after which it is no longer used; zero means DefaultLifetime.
 	Services    []Capacity
 }
 
@@ -77,10 +78,19 @@
 	return s.Sequence <= known.Sequence
 }
 
-// Expire forgets owners that were not heard for Lifetime.
+// live reports whether the owner's summary is still used.
+func (o *owner) live(now time.Time) bool {
+	lifetime := o.summary.Lifetime
+	if lifetime <= 0 {
+		lifetime = DefaultLifetime
+	}
+	return now.Sub(o.heard) <= lifetime
+}
+
+// Expire forgets owners that were not heard for the lifetime of their summaries.
 func (d *Directory) Expire(now time.Time) {
 	d.order = slices.DeleteFunc(d.order, func(a netip.AddrPort) bool {
-		expired := now.Sub(d.owners[a].heard) > Lifetime
+		expired := !d.owners[a].live(now)
 		if expired {
 			delete(d.owners, a)
 		}
@@ -128,7 +138,7 @@
 	total := 0
 	for _, address := range d.order {
 		o := d.owners[address]
-		if c.Exclude[address] || now.Sub(o.heard) > Lifetime || now.Sub(o.missed) < missed {
+		if c.Exclude[address] || !o.live(now) || now.Sub(o.missed) < missed {
 			continue
 		}
 		for _, s := range o.summary.Services {
@@ -189,11 +199,11 @@
 	}
 }
 
-// Owners returns the owners that were heard within Lifetime.
+// Owners returns the summaries that are still used.
 func (d *Directory) Owners(now time.Time) []Summary {
 	var list []Summary
 	for _, address := range d.order {
-		if o := d.owners[address]; now.Sub(o.heard) <= Lifetime {
+		if o := d.owners[address]; o.live(now) {
 			list = append(list, o.summary)
 		}
 	}
