--- a/internal/node/limiter/limiter.go
+++ b/internal/node/limiter/limiter.go
@@ -21,7 +21,6 @@
 	"filbertturn.example/filbertturn/internal/limit/home"
 	"filbertturn.example/filbertturn/internal/limit/loan"
 	"filbertturn.example/filbertturn/internal/limit/share"
-	"filbertturn.example/filbertturn/internal/node/membership"
 	"filbertturn.example/filbertturn/internal/peer/question"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -224,66 +223,6 @@
 	return share.Split(customer, limit, len(homes))[i]
 }
 
-// Changed tells the homes of a new head.
-func (l *Limiter) Changed(c membership.Change) {
-	step := home.Step{Sequence: c.New.Sequence, Epoch: c.New.Epoch, From: c.Old.Epoch}
-	if c.Old.Sequence > 0 && c.New.Epoch <= c.Old.Epoch+1 {
-		step.Kept = l.kept(c.Old.Roster, c.New.Roster)
-		step.Resized = resized(c)
-	}
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.Lock()
-		s.home.Begin(step)
-		s.sequence = c.New.Sequence
-		s.mu.Unlock()
-	}
-}
-
-func (l *Limiter) kept(rosters ...[]member.Member) func(string) bool {
-	return func(customer string) bool {
-		for _, roster := range rosters {
-			if !slices.Contains(placement.Homes(customer, roster), l.Self) {
-				return false
-			}
-		}
-		return true
-	}
-}
-
-// resized returns a function that does not hold on to the configurations.
-func resized(c membership.Change) func(string) bool {
-	if !slices.Equal(dataCentres(c.Old.Roster), dataCentres(c.New.Roster)) {
-		return func(string) bool { return true }
-	}
-	if c.OldConfig == c.NewConfig {
-		return nil
-	}
-	changed := make(map[string]bool)
-	if c.NewConfig != nil {
-		for _, customer := range c.NewConfig.Set().Customers {
-			after, _ := c.NewConfig.Limit(customer.Name)
-			var before set.Limit
-			if c.OldConfig != nil {
-				before, _ = c.OldConfig.Limit(customer.Name)
-			}
-			if before.Rate != after.Rate || before.Burst != after.Burst {
-				changed[customer.Name] = true
-			}
-		}
-	}
-	return func(customer string) bool { return changed[customer] }
-}
-
-func dataCentres(roster []member.Member) []string {
-	names := make([]string, 0, len(roster))
-	for _, m := range roster {
-		names = append(names, m.DataCentre)
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
 // Drop forgets borrowed tokens after a suspension.
 func (l *Limiter) Drop() {
 	for i := range l.shards {
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -60,6 +60,7 @@
 	servers  map[netip.AddrPort]*server
 	pools    map[string]*pool
 	declined map[netip.AddrPort]time.Time // Until when heartbeats are refused.
+	left     map[netip.AddrPort]time.Time // When backend servers that had drained ended.
 	closing  bool
 	active   atomic.Int64
 	next     atomic.Uint64
@@ -108,7 +109,7 @@
 		case lease.Changed:
 			o.update(now, e.Entry)
 		case lease.Expired:
-			o.remove(e.Entry)
+			o.remove(now, e.Entry)
 		}
 	}
 	if len(effects) > 0 && o.Changed != nil {
@@ -123,9 +124,9 @@
 	if old := o.servers[e.BackendServer]; old != nil {
 		old.close()
 	}
-	s := newServer(e)
+	s := newServer(now, e)
 	o.servers[e.BackendServer] = s
-	o.own(now, s, e)
+	o.own(s, e)
 	o.Log.Info().Stringer("BackendServer", e.BackendServer).Str("Service", e.Service).Str("State", e.State.String()).Msg("backend server owned")
 }
 
@@ -136,20 +137,36 @@
 		return
 	}
 	s.setSlots(now, e.Slots)
-	o.own(now, s, e)
+	o.own(s, e)
 	o.Log.Info().Stringer("BackendServer", e.BackendServer).Str("State", e.State.String()).Msg("backend server changed")
 }
 
-func (o *Owner) remove(e lease.Entry) {
+func (o *Owner) remove(now time.Time, e lease.Entry) {
 	s := o.servers[e.BackendServer]
 	if s == nil {
 		return
 	}
 	delete(o.servers, e.BackendServer)
 	s.close()
+	if e.State == lease.Draining {
+		o.noteLeft(now, e.BackendServer)
+	}
 	o.Log.Info().Stringer("BackendServer", e.BackendServer).Msg("lease of backend server expired")
 }
 
+// noteLeft remembers a planned end for the reports, and forgets old ones.
+func (o *Owner) noteLeft(now time.Time, a netip.AddrPort) {
+	if o.left == nil {
+		o.left = make(map[netip.AddrPort]time.Time)
+	}
+	o.left[a] = now
+	for b, at := range o.left {
+		if now.Sub(at) >= leftTime {
+			delete(o.left, b)
+		}
+	}
+}
+
 // decline gives a backend server up, so that its heartbeats go to another node.
 func (o *Owner) decline(now time.Time, a netip.AddrPort) {
 	o.mu.Lock()
--- a/internal/node/owner/pool.go
+++ b/internal/node/owner/pool.go
@@ -30,6 +30,7 @@
 	healthInterval = 50 * time.Millisecond
 	expireInterval = 100 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
+	leftTime       = 3 * time.Second // Time for which it is reported that a backend server left as planned.
 	probeTimeout   = time.Second
 	maxProbeBody   = 64 << 10 // Bytes of a probe's answer that are looked at.
 )
@@ -91,7 +92,7 @@
 
 // own enters a backend server into the ledgers of its pools. It is called with
 // the lock.
-func (o *Owner) own(now time.Time, s *server, e lease.Entry) {
+func (o *Owner) own(s *server, e lease.Entry) {
 	_, config := o.Authority.View()
 	if config == nil {
 		return
@@ -105,7 +106,6 @@
 		q.ledger.Own(s.address, status(e))
 		q.mu.Unlock()
 	}
-	_ = now
 }
 
 func status(e lease.Entry) evidence.Status {
@@ -213,16 +213,21 @@
 		}
 	}
 	for _, a := range q.ledger.Servers() {
-		if o.servers[a] == nil {
+		left, drained := o.left[a]
+		switch {
+		case o.servers[a] != nil:
+		case drained && now.Sub(left) < leftTime:
+			q.ledger.Own(a, evidence.Status{State: report.Left})
+		default:
 			q.ledger.Disown(a)
 		}
 	}
-	_ = now
 }
 
 func (o *Owner) probeAll(ctx context.Context, now time.Time, p set.Pool, q *pool) {
 	q.mu.Lock()
 	suspects := q.ledger.Suspects(now)
+	overdue := q.ledger.Overdue(report.ProbeRoute)
 	q.mu.Unlock()
 	o.mu.RLock()
 	defer o.mu.RUnlock()
@@ -236,7 +241,7 @@
 				interval = evidence.SuspectProbe
 			}
 		}
-		if s.probeDue(now, interval) {
+		if s.probeDue(now, interval, overdue) {
 			go o.probe(ctx, s, p, q)
 		}
 	}
--- a/internal/node/owner/server.go
+++ b/internal/node/owner/server.go
@@ -13,6 +13,9 @@
 	"filbertturn.example/filbertturn/internal/request/kind"
 )
 
+// maxProbes bounds the probes of one backend server under way.
+const maxProbes = 8
+
 // server is one backend server.
 type server struct {
 	address netip.AddrPort
@@ -24,17 +27,17 @@
 	waiting map[uint64]chan admission.Effect
 	slots   int
 	probed  time.Time // Start of the last probe.
-	probing bool
+	probes  int       // Probes under way.
 }
 
-func newServer(e lease.Entry) *server {
+func newServer(now time.Time, e lease.Entry) *server {
 	s := &server{
 		address: e.BackendServer,
 		service: e.Service,
 		client:  &exchange.Client{Address: e.BackendServer},
 		waiting: make(map[uint64]chan admission.Effect),
 	}
-	s.setSlots(time.Now(), e.Slots)
+	s.setSlots(now, e.Slots)
 	return s
 }
 
@@ -146,14 +149,18 @@
 	return s.slots - s.queue.Free(), s.queue.Length()
 }
 
-// probeDue tells whether a probe is to start now, and notes that it does.
-func (s *server) probeDue(now time.Time, interval time.Duration) bool {
+// probeDue tells whether a probe is to start now, and notes that it does. A
+// probe that is overdue does not hold up the next one.
+func (s *server) probeDue(now time.Time, interval, overdue time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.probing || now.Sub(s.probed) < interval {
+	if s.probes > 0 {
+		interval = max(interval, overdue)
+	}
+	if s.probes >= maxProbes || now.Sub(s.probed) < interval {
 		return false
 	}
-	s.probing = true
+	s.probes++
 	s.probed = now
 	return true
 }
@@ -161,5 +168,5 @@
 func (s *server) probeDone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.probing = false
+	s.probes--
 }
