Try again when a late backend server's port is taken for a moment

A wider range of ports was ruled out, since it only makes this rarer. The start is tried up to three times. go test -race of cluster and TestMeasure pass; the race itself has no test, as it needs two programs at one instant.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -32,6 +32,7 @@
 	operatorToken = "token-of-the-operator" //nolint:gosec // It guards a fleet on loopback that ends with the run.
 	pendingCode   = 6                       // Exit code of a publish that is stored and not yet in force everywhere.
 	privateMode   = 0o600
+	lateAttempts  = 3
 )
 
 // Settings describe a cluster. Without nodes it has no store either.
@@ -130,10 +131,18 @@
 	return c.ready(ctx)
 }
 
-// StartLate starts the backend servers that were held back.
+// StartLate starts the backend servers that were held back. It tries again when
+// another program has one of their ports at that moment, as an allocator that
+// looks for a free one does.
 func (c *Cluster) StartLate() error {
 	c.release()
-	return c.serve(c.settings.Servers-c.settings.Late, c.settings.Servers)
+	var err error
+	for range lateAttempts {
+		if err = c.serve(c.settings.Servers-c.settings.Late, c.settings.Servers); err == nil {
+			return nil
+		}
+	}
+	return err
 }
 
 // serve starts the backend servers from one index up to another in a process.
