Do not cancel requests after a refusal, nor cut them with a busy session

Cause: two faults of the shell, found by the fleet tests on a busy machine. After a refusal the entry let the read deadline of the connection pass, to end the reading of a stalled body. Where the body had ended already, net/http watches the connection, took the deadline for the caller's leaving, and cancelled every later request on it: 197 of 240 requests of TestBackendServer_broken were answered as CancelledByCaller. And two questions in a row without a reply closed the session between two nodes with the requests on it; a question for tokens waits only 50 ms, so that a busy machine was enough: 1 of 1430 requests of TestNode_stopped was answered as LostPeer.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -79,6 +79,7 @@
 	writer   http.ResponseWriter
 	started  time.Time
 	call     *call.Call
+	body     *requestBody
 	snapshot *snapshot.Snapshot
 }
 
@@ -93,17 +94,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := newCall(r, e.NewID())
-	p := &pass{request: r, writer: w, started: started, call: c}
+	p := &pass{request: r, writer: w, started: started, call: c, body: &requestBody{source: r.Body, ended: c.ContentLength == 0}}
 	answer, cancel, err := e.handle(r.Context(), p)
 	defer cancel(nil)
 	if err != nil {
 		f := failure.From(err)
-		if c.ContentLength != 0 {
-			// net/http reads the rest of the body before it sends the answer. A
-			// caller that stalls must not hold it up; what has arrived is still
-			// read, so that the connection can go on.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-		}
+		p.body.finish(w, started.Add(c.Timeout+slack))
 		problem.Write(w, f)
 		e.Recorder.Done(c, f.Kind.Answer().Status, f, time.Since(started))
 		return
@@ -157,15 +153,15 @@
 		cancel(cause)
 		stop()
 	}
-	answer, err := e.Forwarder.Forward(ctx, p.call, body(p))
+	answer, err := e.Forwarder.Forward(ctx, p.call, replayed(p))
 	return answer, end, err
 }
 
-func body(p *pass) *replay.Body {
+func replayed(p *pass) *replay.Body {
 	if p.call.ContentLength == 0 {
 		return nil
 	}
-	return replay.New(p.request.Body)
+	return replay.New(p.body)
 }
 
 // configure pins the configuration for the whole request.
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -229,6 +229,21 @@
 	}
 }
 
+// forward is a forwarder that reads the body and tells whether the request was
+// cancelled.
+type forward func(body io.Reader, done <-chan struct{}) error
+
+func (f forward) Forward(ctx context.Context, c *call.Call, body *replay.Body) (*exchange.Answer, error) {
+	r, _ := body.Reader()
+	if err := f(r, ctx.Done()); err != nil {
+		return nil, err
+	}
+	return &exchange.Answer{
+		Status: http.StatusOK, Header: make(http.Header), ContentLength: -1,
+		Body: io.NopCloser(strings.NewReader(c.Customer)), Trailer: func() http.Header { return nil },
+	}, nil
+}
+
 // cutter forwards to a backend server that breaks its answers off.
 type cutter int64
 
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -27,7 +27,8 @@
 	openTimeout      = time.Second
 	maxQuestions     = 256 // Questions of one peer that are answered at once.
 	acceptBacklog    = 1024
-	failuresToReopen = 2 // Questions in a row without a reply after which the session is replaced.
+	failuresToReopen = 2               // Questions in a row without a reply after which the session may be replaced,
+	silenceToReopen  = 2 * time.Second // and the time without any reply.
 )
 
 // Handler serves what peers send.
@@ -188,7 +189,7 @@
 	}
 	reply, err := s.ask(ctx, kind, payload)
 	if err != nil {
-		if s.failed() {
+		if s.failed(time.Now()) {
 			m.drop(to, s)
 		}
 		return nil, err
@@ -243,6 +244,7 @@
 	s.mux, s.err = m.connect(ctx, to)
 	err := s.err
 	s.touch()
+	s.replied.Store(time.Now().UnixNano())
 	close(s.ready)
 	if err != nil {
 		m.drop(to, s)
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -21,6 +21,7 @@
 
 	used     atomic.Int64 // Time of the last use, in nanoseconds since 1970.
 	failures atomic.Int32 // Questions in a row without a reply.
+	replied  atomic.Int64 // Time of the last reply or of the start, in nanoseconds since 1970.
 
 	mu      sync.Mutex // Guards the fields below and writes to control.
 	control *Stream
@@ -50,25 +51,28 @@
 	return streams <= 0
 }
 
-func (s *session) failed() bool {
-	return s.failures.Load() >= failuresToReopen
+// failed tells whether the session is to be replaced. Questions with a short
+// timeout prove little by themselves, and its requests end with the session.
+func (s *session) failed(now time.Time) bool {
+	return s.failures.Load() >= failuresToReopen && now.Sub(time.Unix(0, s.replied.Load())) >= silenceToReopen
 }
 
 func (s *session) ask(ctx context.Context, kind uint32, payload []byte) (*peerpb.Reply, error) {
 	s.touch()
 	id, reply, err := s.send(kind, payload)
 	if err != nil {
-		s.failures.Store(failuresToReopen)
+		s.breaks()
 		return nil, err
 	}
 	defer s.forget(id)
 	select {
 	case r, ok := <-reply:
 		if !ok {
-			s.failures.Store(failuresToReopen)
+			s.breaks()
 			return nil, io.ErrUnexpectedEOF
 		}
 		s.failures.Store(0)
+		s.replied.Store(time.Now().UnixNano())
 		return r, nil
 	case <-ctx.Done():
 		s.failures.Add(1)
@@ -76,6 +80,12 @@
 	}
 }
 
+// breaks marks a session that certainly failed.
+func (s *session) breaks() {
+	s.failures.Store(failuresToReopen)
+	s.replied.Store(0)
+}
+
 func (s *session) send(kind uint32, payload []byte) (uint64, <-chan *peerpb.Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
