Fail a measuring run in which the generator had no files left

A run with 25 fleets at once ran out of open files in the measuring process: 22718 requests that were never sent counted as unanswered. A higher limit was ruled out, as limits of the machine stay as they are. Such a run now fails with its cause, and a generator keeps fewer idle connections. go test -race of load and measure passes; the check itself has no test.

--- a/internal/standin/experiment/experiment.go
+++ b/internal/standin/experiment/experiment.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/standin/arrival"
@@ -200,6 +202,12 @@
 	if err := ctx.Err(); err != nil {
 		return measure.Summary{}, records, err
 	}
+	for _, x := range records {
+		// What the generator could not send says nothing of the fleet.
+		if strings.Contains(x.Err, syscall.EMFILE.Error()) {
+			return measure.Summary{}, records, fmt.Errorf("experiment: send: %s", x.Err)
+		}
+	}
 	if len(r.errs) > 0 {
 		return measure.Summary{}, records, r.errs[0]
 	}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -133,7 +133,7 @@
 	return &Generator{
 		settings: s,
 		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 256,
+			MaxIdleConnsPerHost: 64,
 			DisableCompression:  true,
 		}},
 	}
