Never claim that a request did not run when an attempt may have

Cause: the caller was told the last attempt's failure. Ruled out: the exchange and the owner; each attempt's own outcome was right. Change: an outcome that may have run goes before a later refusal, and an answer before any failure, also between two attempts at once.

--- a/internal/node/forwarder/attempt.go
+++ b/internal/node/forwarder/attempt.go
@@ -42,7 +42,6 @@
 func (r *request) note(o outcome) {
 	if o.answer != nil {
 		r.avoid = append(r.avoid, o.answer.BackendServer)
-		_ = o.answer.Body.Close()
 		return
 	}
 	if f := failure.From(o.err); f.BackendServer.IsValid() {
@@ -71,6 +70,22 @@
 	return o.err != nil || o.answer.Status >= http.StatusInternalServerError
 }
 
+// followed returns what to tell the caller after another attempt at the same
+// request. An answer goes before a failure, whatever its status; and where one
+// attempt may have run, the last one's refusal must not claim that none did.
+func (o outcome) followed(next outcome) outcome {
+	switch {
+	case next.answer != nil:
+		o.discard()
+		return next
+	case o.answer != nil:
+		return o
+	case o.err != nil && !failure.From(o.err).Kind.NotRun() && failure.From(next.err).Kind.NotRun():
+		return o
+	}
+	return next
+}
+
 func (o outcome) freeSlots() *int {
 	if o.err != nil {
 		return failure.From(o.err).FreeSlots
@@ -118,12 +133,7 @@
 		other = first
 	}
 	if o.failed() {
-		last := <-other.result
-		if last.failed() && last.err != nil && o.err == nil {
-			return o
-		}
-		o.discard()
-		return last
+		return o.followed(<-other.result)
 	}
 	go other.abandon()
 	return o
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -42,8 +42,9 @@
 func (f *Forwarder) Forward(ctx context.Context, c *call.Call, body *replay.Body) (*exchange.Answer, error) {
 	r := &request{call: c, body: body, service: c.Pool.Service, tried: make(map[netip.AddrPort]bool)}
 	f.budget(r.service, func(b *budget.Budget) bool { b.Request(time.Now()); return true })
+	var result outcome
 	for {
-		result := f.race(ctx, r)
+		result = result.followed(f.race(ctx, r))
 		if !f.again(ctx, r, result) {
 			return result.answer, result.err
 		}
