Find a slow backend server whose health endpoint does well

Ruled out: leaving probes out of the score; without traffic only they show a fault. Change: slowness is scored for callers' requests alone as well, as failures are.

--- a/internal/health/referee/bench_test.go
+++ b/internal/health/referee/bench_test.go
@@ -31,7 +31,7 @@
 	factor            float64 // Of its latency.
 	fail, wrong       float64 // Shares of requests and probes.
 	tail              float64 // Share that takes ten times as long.
-	spareProbes       bool    // Probes do not fail.
+	spareProbes       bool    // Probes neither fail nor are slow.
 	hang              bool
 	refuses           int // Owner that cannot connect plus one, or -1 for all.
 	starting, rebuilt bool
@@ -168,7 +168,11 @@
 	if probe {
 		t.probe, t.probed = id, b.now
 	}
-	latency := time.Duration(float64(usual) * a.factor * math.Exp(b.sigma*b.rng.NormFloat64()))
+	factor := a.factor
+	if probe && a.spareProbes {
+		factor = 1
+	}
+	latency := time.Duration(float64(usual) * factor * math.Exp(b.sigma*b.rng.NormFloat64()))
 	if route == "heavy" {
 		latency *= 20
 	}
--- a/internal/health/referee/curve_test.go
+++ b/internal/health/referee/curve_test.go
@@ -46,6 +46,7 @@
 
 var faults = []scenario{
 	{desc: "10x slow", atFault: true, target: true, length: minute / 2, act: from(1, act{factor: 10})},
+	{desc: "10x slow, probes fine", atFault: true, length: minute / 2, act: from(1, act{factor: 10, spareProbes: true})},
 	{desc: "4x slow", atFault: true, length: minute / 2, act: from(1, act{factor: 4})},
 	{desc: "30% errors", atFault: true, target: true, length: minute / 2, act: from(1, act{factor: 1, fail: 0.3})},
 	{desc: "30% errors, probes fine", atFault: true, length: minute / 2, act: from(1, act{factor: 1, fail: 0.3, spareProbes: true})},
--- a/internal/health/referee/score.go
+++ b/internal/health/referee/score.go
@@ -38,11 +38,11 @@
 	warmAllowance = 2.0 // Logarithm.
 )
 
-// scores are the evidence that a backend server is slow, fails, fails at
-// callers' requests, since a health endpoint may work where they do not, or
-// answers wrongly.
+// scores are the evidence that a backend server is slow, fails or answers
+// wrongly. The first two count once more for callers' requests alone, since a
+// health endpoint may do well where they do not.
 type scores struct {
-	slow, fail, requests, wrong excursion
+	slow, slowRequests, fail, failRequests, wrong excursion
 }
 
 // excursion is a cumulative sum of evidence since it was last zero, as the
@@ -93,7 +93,8 @@
 	probed, probeFailed, wrong int
 	overdue                    int
 	matched, deviation         float64 // Latencies with a baseline, and the sum of their deviations.
-	slow, scale                float64 // Observations for the score.
+	slow, scale                float64 // Observations for the score of slowness.
+	probeSlow, probeScale      float64 // Those of them that are probes.
 }
 
 // score adds the evidence of a report.
@@ -108,11 +109,11 @@
 	s.recent.add(now, fastDecay, t.matched, t.deviation, 0)
 	s.failed.add(now, t.ok+t.failed, t.failed)
 	s.wrongs.add(now, t.probed+t.wrong, t.wrong)
-	before := s.scores.slow.score
+	before := s.scores.slowest()
 	r.weigh(now, s, &t)
 	connect := rateWeights(healthyRate)
 	v.connect = min(max(v.connect+float64(t.refused)*connect.bad+float64(t.count-t.refused)*connect.good, 0), r.threshold()*scoreBound)
-	if t.failed+t.wrong+t.refused+t.overdue > 0 || s.scores.slow.score-before > badGain {
+	if t.failed+t.wrong+t.refused+t.overdue > 0 || s.scores.slowest()-before > badGain {
 		s.good = 0
 	} else {
 		s.good += t.count
@@ -126,8 +127,9 @@
 	wrong := rateWeights(max(healthyWrong, r.othersRate(s, (*server).wrongAnswers)))
 	slow := weights{bad: 1, good: -r.common(s) - math.Log(slowFactor)/2}
 	s.scores.slow.weigh(now, t.slow, t.scale, slow, bound)
+	s.scores.slowRequests.weigh(now, t.slow-t.probeSlow, t.scale-t.probeScale, slow, bound)
 	s.scores.fail.weigh(now, float64(t.failed), float64(t.ok), fail, bound)
-	s.scores.requests.weigh(now, float64(t.failed-t.probeFailed), float64(t.ok-t.probed), fail, bound)
+	s.scores.failRequests.weigh(now, float64(t.failed-t.probeFailed), float64(t.ok-t.probed), fail, bound)
 	s.scores.wrong.weigh(now, float64(t.wrong), float64(t.probed), wrong, bound)
 }
 
@@ -156,7 +158,13 @@
 	if base, known := r.base(s, i); known {
 		sum = min(sum, n*(base+math.Log(evidence.OverdueFactor)))
 		allowed := base + warmAllowance*max(0, 1-float64(p.ReadyFor-WarmUp)/float64(WarmUp))
-		r.compare(i, n, sum-n*allowed, t)
+		bad, scale := r.compare(i, n, sum-n*allowed)
+		t.slow += bad
+		t.scale += scale
+		if m.Route == report.ProbeRoute {
+			t.probeSlow += bad
+			t.probeScale += scale
+		}
 		t.deviation += sum - n*r.routes[i].level.middle()
 		t.matched += n
 	}
@@ -165,14 +173,13 @@
 	k.recent.add(now, fastDecay, n, sum, 0)
 }
 
-// compare adds n latencies to the tally whose logarithms exceed the baseline
-// by excess in total. Their evidence that the backend server is slowFactor
-// times slower is that of normal distributions of the logarithm.
-func (r *Referee) compare(i int, n, excess float64, t *tally) {
+// compare returns the observations for the score of n latencies whose logarithms
+// exceed the baseline by excess in total. Their evidence that the backend server
+// is slowFactor times slower is that of normal distributions of the logarithm.
+func (r *Referee) compare(i int, n, excess float64) (bad, good float64) {
 	shift, sigma := math.Log(slowFactor), r.routes[i].sigma
 	scale := shift / (sigma * sigma)
-	t.slow += min(scale*excess, n*(maxGain+scale*shift/2))
-	t.scale += n * scale
+	return min(scale*excess, n*(maxGain+scale*shift/2)), n * scale
 }
 
 func (s *server) failures() *rate     { return &s.failed }
@@ -196,8 +203,9 @@
 	}{
 		{report.Wrong, func(s *server) *excursion { return &s.scores.wrong }},
 		{report.Failing, func(s *server) *excursion { return &s.scores.fail }},
-		{report.Failing, func(s *server) *excursion { return &s.scores.requests }},
+		{report.Failing, func(s *server) *excursion { return &s.scores.failRequests }},
 		{report.Slow, func(s *server) *excursion { return &s.scores.slow }},
+		{report.Slow, func(s *server) *excursion { return &s.scores.slowRequests }},
 	} {
 		e := k.pick(s)
 		if e.score <= lead || e.since.After(since) {
--- a/internal/health/referee/stage.go
+++ b/internal/health/referee/stage.go
@@ -37,7 +37,7 @@
 		if !now.Before(s.until) && s.good >= goodRun && !s.unreachable {
 			s.stage, s.since, s.weight, s.good = onProbation, now, firstWeight, 0
 			prior := excursion{prior: r.threshold() * priorScore, score: r.threshold() * priorScore, since: now}
-			s.scores = scores{slow: prior, fail: prior, requests: prior, wrong: prior}
+			s.scores = scores{slow: prior, slowRequests: prior, fail: prior, failRequests: prior, wrong: prior}
 		}
 	case onProbation:
 		r.advanceProbation(now, s)
@@ -143,5 +143,9 @@
 }
 
 func (s scores) highest() float64 {
-	return max(s.slow.score, s.fail.score, s.requests.score, s.wrong.score)
+	return max(s.slowest(), s.fail.score, s.failRequests.score, s.wrong.score)
+}
+
+func (s scores) slowest() float64 {
+	return max(s.slow.score, s.slowRequests.score)
 }
