Lend buffers for the copying of bodies

Each request left up to four buffers of 32 KB to the garbage collector. Change: buffers come from a pool.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -16,6 +16,7 @@
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/request/buffer"
 	"filbertturn.example/filbertturn/internal/request/call"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/header"
@@ -25,9 +26,8 @@
 )
 
 const (
-	bearer     = "bearer "
-	slack      = time.Second // Time after a request's deadline for the last bytes to the caller.
-	bufferSize = 32 << 10    // Bytes of the buffer that copies an answer.
+	bearer = "bearer "
+	slack  = time.Second // Time after a request's deadline for the last bytes to the caller.
 )
 
 // Authority tells what the node may rely on.
@@ -285,9 +285,10 @@
 	}
 	w.WriteHeader(answer.Status)
 	control := http.NewResponseController(w)
-	buf := make([]byte, bufferSize)
+	buf := buffer.Take()
+	defer buf.Release()
 	for {
-		n, err := answer.Body.Read(buf)
+		n, err := answer.Body.Read(buf[:])
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return failure.New(kind.CancelledByCaller, "", werr)
--- a/internal/peer/courier/body.go
+++ b/internal/peer/courier/body.go
@@ -7,6 +7,7 @@
 
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/request/buffer"
 	"filbertturn.example/filbertturn/internal/request/failure"
 )
 
@@ -27,9 +28,10 @@
 	if body == nil {
 		return nil
 	}
-	buf := make([]byte, chunkSize)
+	buf := buffer.Take()
+	defer buf.Release()
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:])
 		if n > 0 {
 			f := &peerpb.Frame{Body: &peerpb.Frame_Data{Data: &peerpb.Data{Bytes: buf[:n]}}}
 			if err := stream.Write(f); err != nil {
--- a/internal/peer/courier/courier.go
+++ b/internal/peer/courier/courier.go
@@ -21,9 +21,6 @@
 const (
 	version = 1
 
-	// chunkSize is the largest part of a body in one frame, in bytes.
-	chunkSize = 32 << 10
-
 	// linger bounds the time a stream waits past the request's deadline.
 	linger = time.Second
 )
--- a/internal/peer/courier/owner.go
+++ b/internal/peer/courier/owner.go
@@ -10,6 +10,7 @@
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/request/buffer"
 	"filbertturn.example/filbertturn/internal/request/call"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -84,7 +85,9 @@
 		body := &bodyReader{stream: stream, refused: fromFrame, classify: func(err error) *failure.Failure {
 			return failure.New(kind.BrokenRequestBody, "", err)
 		}}
-		_, err := io.CopyBuffer(w, struct{ io.Reader }{body}, make([]byte, chunkSize))
+		buf := buffer.Take()
+		_, err := io.CopyBuffer(w, struct{ io.Reader }{body}, buf[:])
+		buf.Release()
 		_ = w.CloseWithError(err)
 		if err == nil {
 			watch(stream, cancel)
