--- a/internal/backend/exchange/exchange_test.go
+++ b/internal/backend/exchange/exchange_test.go
@@ -299,3 +299,42 @@
 func (*brokenReader) Read([]byte) (int, error) {
 	return 0, errors.New("broken")
 }
+
+// FuzzClient_Do lets a backend server send any bytes. An exchange ends with a
+// whole answer or with a failure that does not claim that nothing was sent,
+// unless the backend server said that it shed the request.
+func FuzzClient_Do(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nRequest-Outcome: NotRun\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 5\r\n\r\n"))
+	f.Add([]byte{0, 255, '\r', '\n', '\r', '\n'})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	answers := make(chan []byte)
+	go func() {
+		for data := range answers {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = conn.Write(data)
+			}
+			_ = conn.Close()
+		}
+	}()
+	c := &Client{Address: netip.MustParseAddrPort(l.Addr().String())}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		answers <- data
+		got, _ := do(c, request("one"))
+		for _, k := range kind.All() {
+			if k.String() == got && k.NotRun() && k != kind.ShedByBackendServer {
+				t.Errorf("got %s after the request was sent", got)
+			}
+		}
+	})
+}
