Read the body of a publish in one place

Cause: checking and publishing a set read and decoded the request with the same lines. Change: readPublish does both. Result: tests of the administration API and the fleet tests pass; no behaviour changed.

--- a/internal/admin/api/publish.go
+++ b/internal/admin/api/publish.go
@@ -20,11 +20,7 @@
 )
 
 func (a *API) checkConfig(w http.ResponseWriter, r *http.Request, _ string) {
-	var p message.Publish
-	if !read(w, r, &p) {
-		return
-	}
-	s, ok := decodeSet(w, p.Set)
+	_, s, ok := readPublish(w, r)
 	if !ok {
 		return
 	}
@@ -36,11 +32,7 @@
 }
 
 func (a *API) publish(w http.ResponseWriter, r *http.Request, operator string) {
-	var p message.Publish
-	if !read(w, r, &p) {
-		return
-	}
-	s, ok := decodeSet(w, p.Set)
+	p, s, ok := readPublish(w, r)
 	if !ok {
 		return
 	}
@@ -174,6 +166,16 @@
 	return !slices.ContainsFunc(members, waits)
 }
 
+// readPublish reads a request that holds a set, or refuses it.
+func readPublish(w http.ResponseWriter, r *http.Request) (message.Publish, set.Set, bool) {
+	var p message.Publish
+	if !read(w, r, &p) {
+		return message.Publish{}, set.Set{}, false
+	}
+	s, ok := decodeSet(w, p.Set)
+	return p, s, ok
+}
+
 func decodeSet(w http.ResponseWriter, text []byte) (set.Set, bool) {
 	s, err := document.Decode(text)
 	if err == nil {
