--- a/cmd/filbertturn/main.go
+++ b/cmd/filbertturn/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"filbertturn.example/filbertturn/internal/admin/command"
+	"filbertturn.example/filbertturn/platform"
 )
 
 func main() {
-	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr, platform.Command()))
 }
--- a/internal/admin/command/command.go
+++ b/internal/admin/command/command.go
@@ -56,8 +56,11 @@
 }
 
 // Run executes the command line and returns the exit code.
-func Run(args []string, stdout, stderr io.Writer) int {
+// More commands, such as those of an adapter to a platform, are added to the
+// project's own.
+func Run(args []string, stdout, stderr io.Writer, more ...*cobra.Command) int {
 	root := newRoot()
+	root.AddCommand(more...)
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- /dev/null
+++ b/internal/backend/booking/booking.go
@@ -0,0 +1,383 @@
+// Package booking decides which requests get the slots of one backend server,
+// which wait, and which are to be sent elsewhere.
+package booking
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/health/suspicion"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+const (
+	// doubtful is the suspicion above which only requests that may be repeated
+	// are sent, one at a time, to learn whether the backend server recovered.
+	doubtful = 0.2
+
+	// failing is the suspicion above which requests that could wait go elsewhere.
+	failing = 0.5
+
+	// trialPause is the least time between two such requests.
+	trialPause = 250 * time.Millisecond
+
+	// overdueFactor times the mean time of a route's answers is the age at which
+	// a request counts as hanging.
+	overdueFactor = 3.0
+
+	// overdueLeast is the least such age.
+	overdueLeast = 80 * time.Millisecond
+
+	// unknownFactor times the objective is that age before the route's mean is
+	// known.
+	unknownFactor = 0.7
+
+	// smoothing is the weight of the newest answer in a mean.
+	smoothing = 0.15
+
+	// minSamples is the number of answers after which a mean is used.
+	minSamples = 4
+
+	// expectedHold is the time that a request is expected to hold its slot
+	// before any has left.
+	expectedHold = 100 * time.Millisecond
+
+	// maxWaitingPerSlot bounds the queue.
+	maxWaitingPerSlot = 8
+)
+
+// Ticket is a request that wants a slot.
+type Ticket struct {
+	ID         uint64
+	Route      string
+	Priority   int
+	Nested     bool
+	Idempotent bool
+	Level      order.Level
+	Deadline   time.Time     // Time at which its answer is worth nothing.
+	Objective  time.Duration // Time within which an answer is worth most.
+}
+
+// Outcome is how a request ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered  Outcome = iota
+	Failed            // The backend server failed it.
+	Abandoned         // It was cancelled, which says nothing of the backend server.
+	Refused           // The backend server shed it.
+)
+
+// Effect is what becomes of a request: Start, Wait or Refuse.
+type Effect interface{ effect() }
+
+// Start gives a request a slot.
+type Start struct{ ID uint64 }
+
+// Wait keeps a request in the queue.
+type Wait struct{ ID uint64 }
+
+// Refuse ends the wait of a request, or does not let it begin.
+type Refuse struct {
+	ID         uint64
+	RetryAfter time.Duration // Time after which a slot is expected.
+}
+
+func (Start) effect()  {}
+func (Wait) effect()   {}
+func (Refuse) effect() {}
+
+// run is a request that holds a slot.
+type run struct {
+	ticket  Ticket
+	started time.Time
+	overdue bool
+	trial   bool
+}
+
+// mean is the mean time of a route's answers.
+type mean struct {
+	value   time.Duration
+	samples int
+}
+
+// Desk gives out the slots of one backend server. Its zero value is closed. It
+// is not safe for use by several goroutines at once.
+type Desk struct {
+	slots     int
+	open      bool
+	running   map[uint64]*run
+	waiting   []Ticket // In the order in which they start.
+	suspicion suspicion.Suspicion
+	hold      time.Duration // Mean time that a request holds its slot.
+	means     map[string]*mean
+	lastTrial time.Time
+}
+
+// Load is what other nodes are told of a desk.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	Failing float64       // Likelihood that the next request fails, 0 to 1.
+	Serving bool          // It takes requests.
+	Hold    time.Duration // Mean time that a request holds its slot.
+}
+
+// Open lets requests in, to the given number of slots.
+func (d *Desk) Open(now time.Time, slots int) []Effect {
+	d.slots, d.open = max(slots, 1), true
+	return d.fill(now, nil)
+}
+
+// Close refuses the requests that wait. Those that run go on.
+func (d *Desk) Close(now time.Time) []Effect {
+	d.open = false
+	return d.turnAway(now, func(Ticket) bool { return true })
+}
+
+// Reset forgets what is known of the backend server, for its successor.
+func (d *Desk) Reset() {
+	d.suspicion = suspicion.Suspicion{}
+	d.hold = 0
+	d.means = nil
+}
+
+// Load describes the desk.
+func (d *Desk) Load(now time.Time) Load {
+	return Load{
+		Running: len(d.running), Waiting: len(d.waiting), Slots: d.slots,
+		Failing: d.failing(now), Serving: d.open, Hold: d.holdTime(),
+	}
+}
+
+// failing returns the likelihood that the next request fails. A request that
+// hangs now counts for more than those that ended.
+func (d *Desk) failing(now time.Time) float64 {
+	v := d.suspicion.Value(now)
+	for _, r := range d.running {
+		if r.overdue {
+			return max(v, failing+0.1)
+		}
+	}
+	return v
+}
+
+// Enter asks for a slot.
+func (d *Desk) Enter(now time.Time, t Ticket) []Effect {
+	effects := d.Tick(now)
+	return append(effects, d.enter(now, t)...)
+}
+
+func (d *Desk) enter(now time.Time, t Ticket) []Effect {
+	suspect := d.failing(now)
+	free := d.slots - len(d.running)
+	switch {
+	case !d.open:
+		return []Effect{d.refuse(t)}
+	case t.Level == order.Trusted && suspect >= doubtful:
+		if t.Idempotent && free > 0 && d.trialDue(now) {
+			return []Effect{d.start(now, t, true)}
+		}
+		return []Effect{d.refuse(t)}
+	case t.Level == order.Queued && suspect >= failing:
+		return []Effect{d.refuse(t)}
+	case free > 0 && len(d.waiting) == 0:
+		return []Effect{d.start(now, t, false)}
+	case t.Level == order.Trusted:
+		return []Effect{d.refuse(t)}
+	}
+	return d.queue(now, t)
+}
+
+// trialDue reports whether a suspected backend server may be tried.
+func (d *Desk) trialDue(now time.Time) bool {
+	if now.Sub(d.lastTrial) < trialPause {
+		return false
+	}
+	for _, r := range d.running {
+		if r.trial {
+			return false
+		}
+	}
+	return true
+}
+
+// queue lets t wait if it can still be answered in time. A full queue gives up
+// the ticket that would start last.
+func (d *Desk) queue(now time.Time, t Ticket) []Effect {
+	at, _ := slices.BinarySearchFunc(d.waiting, t, compare)
+	if now.Add(d.wait(at) + d.expected(t.Route)).After(t.Deadline) {
+		return []Effect{d.refuse(t)}
+	}
+	var effects []Effect
+	if len(d.waiting) >= maxWaitingPerSlot*d.slots {
+		if at == len(d.waiting) {
+			return []Effect{d.refuse(t)}
+		}
+		last := len(d.waiting) - 1
+		effects = append(effects, d.refuse(d.waiting[last]))
+		d.waiting = d.waiting[:last]
+	}
+	d.waiting = slices.Insert(d.waiting, at, t)
+	return append(effects, Wait{ID: t.ID})
+}
+
+// compare orders the queue: requests that a backend server waits for first, as
+// it holds a slot meanwhile, then by priority and by deadline.
+func compare(a, b Ticket) int {
+	if a.Nested != b.Nested {
+		if a.Nested {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Deadline.Compare(b.Deadline), cmp.Compare(a.ID, b.ID))
+}
+
+// wait is the time after which the ticket at a place of the queue is expected
+// to start.
+func (d *Desk) wait(place int) time.Duration {
+	return d.holdTime() * time.Duration(place+1) / time.Duration(max(d.slots, 1))
+}
+
+func (d *Desk) holdTime() time.Duration {
+	if d.hold == 0 {
+		return expectedHold
+	}
+	return d.hold
+}
+
+// expected is the time that an answer on a route is expected to take.
+func (d *Desk) expected(route string) time.Duration {
+	if m := d.means[route]; m != nil && m.samples >= minSamples {
+		return m.value
+	}
+	return 0
+}
+
+// overdueAge is the age at which a request counts as hanging.
+func (d *Desk) overdueAge(t Ticket) time.Duration {
+	if e := d.expected(t.Route); e > 0 {
+		return max(time.Duration(overdueFactor*float64(e)), overdueLeast)
+	}
+	return max(time.Duration(unknownFactor*float64(t.Objective)), overdueLeast)
+}
+
+func (d *Desk) start(now time.Time, t Ticket, trial bool) Start {
+	if d.running == nil {
+		d.running = make(map[uint64]*run)
+	}
+	d.running[t.ID] = &run{ticket: t, started: now, trial: trial}
+	if trial {
+		d.lastTrial = now
+	}
+	return Start{ID: t.ID}
+}
+
+func (d *Desk) refuse(t Ticket) Refuse {
+	return Refuse{ID: t.ID, RetryAfter: d.wait(len(d.waiting))}
+}
+
+// Leave gives a slot back, or ends the wait of a request.
+func (d *Desk) Leave(now time.Time, id uint64, o Outcome) []Effect {
+	r := d.running[id]
+	if r == nil {
+		d.waiting = slices.DeleteFunc(d.waiting, func(t Ticket) bool { return t.ID == id })
+		return nil
+	}
+	delete(d.running, id)
+	took := now.Sub(r.started)
+	switch o {
+	case Answered:
+		d.answered(r, took)
+		if !r.overdue {
+			d.suspicion.Good(now)
+		}
+	case Failed:
+		d.suspicion.Bad(now)
+	case Abandoned:
+		if r.overdue {
+			d.suspicion.Bad(now)
+		}
+	case Refused:
+	}
+	return d.fill(now, d.Tick(now))
+}
+
+func (d *Desk) answered(r *run, took time.Duration) {
+	d.hold = smooth(d.holdTime(), took)
+	if d.means == nil {
+		d.means = make(map[string]*mean)
+	}
+	m := d.means[r.ticket.Route]
+	if m == nil {
+		m = &mean{value: took}
+		d.means[r.ticket.Route] = m
+	}
+	m.value = smooth(m.value, took)
+	m.samples++
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	return old + time.Duration(smoothing*float64(sample-old))
+}
+
+// Tick notes requests that hang, and refuses those that can no longer be
+// answered in time or that would wait behind them.
+func (d *Desk) Tick(now time.Time) []Effect {
+	hangs := false
+	for _, r := range d.running {
+		if !r.overdue && now.Sub(r.started) >= d.overdueAge(r.ticket) {
+			r.overdue = true
+			d.suspicion.Bad(now)
+		}
+		hangs = hangs || r.overdue
+	}
+	return d.turnAway(now, func(t Ticket) bool {
+		late := now.Add(d.expected(t.Route)).After(t.Deadline)
+		return late || hangs && t.Level < order.Any
+	})
+}
+
+// Next returns the time at which Tick is due, or zero if nothing runs or waits.
+func (d *Desk) Next() time.Time {
+	var next time.Time
+	sooner := func(t time.Time) {
+		if next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	for _, r := range d.running {
+		if !r.overdue {
+			sooner(r.started.Add(d.overdueAge(r.ticket)))
+		}
+	}
+	for _, t := range d.waiting {
+		sooner(t.Deadline.Add(-d.expected(t.Route)))
+	}
+	return next
+}
+
+func (d *Desk) turnAway(_ time.Time, f func(Ticket) bool) []Effect {
+	var effects []Effect
+	d.waiting = slices.DeleteFunc(d.waiting, func(t Ticket) bool {
+		if !f(t) {
+			return false
+		}
+		effects = append(effects, d.refuse(t))
+		return true
+	})
+	return effects
+}
+
+func (d *Desk) fill(now time.Time, effects []Effect) []Effect {
+	for d.open && len(d.waiting) > 0 && len(d.running) < d.slots {
+		t := d.waiting[0]
+		d.waiting = slices.Delete(d.waiting, 0, 1)
+		effects = append(effects, d.start(now, t, false))
+	}
+	return effects
+}
--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -5,15 +5,25 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
 
+// Bounds of what a backend server says of its idle connections.
+const (
+	maxKeepSeconds = 3600
+	keepTenths     = 8 // Part of the time, in tenths, for which a connection is used.
+)
+
 // conn is one connection to the backend server.
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
-	since time.Time // Time of the last use.
+	since time.Time     // Time of the last use.
+	keep  time.Duration // Time for which it may stay idle.
 	limit headerLimit
 }
 
@@ -32,6 +42,20 @@
 	return err == nil && errors.Is(peek, syscall.EAGAIN)
 }
 
+// learnKeep takes in how long the backend server keeps an idle connection.
+// A margin covers the way of its close.
+func (c *conn) learnKeep(h http.Header) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 && seconds <= maxKeepSeconds {
+			c.keep = min(c.keep, time.Duration(seconds)*time.Second*keepTenths/10)
+		}
+	}
+}
+
 // headerLimit bounds the bytes of an answer's header; zero means no bound.
 type headerLimit struct {
 	conn net.Conn
@@ -65,23 +89,31 @@
 	c.idle = nil
 }
 
-func (c *Client) connection(ctx context.Context, reuse bool) (*conn, error) {
-	if reuse {
-		if conn := c.takeIdle(time.Now()); conn != nil {
+func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
+	age := idleTimeout
+	if !r.Idempotent {
+		age = r.Fresh
+	}
+	if age > 0 {
+		if conn := c.takeIdle(time.Now(), age); conn != nil {
 			return conn, nil
 		}
 	}
 	return c.dial(ctx)
 }
 
-func (c *Client) takeIdle(now time.Time) *conn {
+// takeIdle returns the connection that was used last if it is young enough.
+func (c *Client) takeIdle(now time.Time, age time.Duration) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.idle) > 0 {
 		last := len(c.idle) - 1
 		conn := c.idle[last]
+		if now.Sub(conn.since) >= age && age < idleTimeout {
+			return nil
+		}
 		c.idle = c.idle[:last]
-		if now.Sub(conn.since) < idleTimeout && conn.quiet() {
+		if now.Sub(conn.since) < min(age, conn.keep) && conn.quiet() {
 			return conn
 		}
 		_ = conn.Close()
@@ -97,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &conn{Conn: raw, limit: headerLimit{conn: raw}}
+	n := &conn{Conn: raw, keep: idleTimeout, limit: headerLimit{conn: raw}}
 	n.r = bufio.NewReaderSize(&n.limit, bufferSize)
 	return n, nil
 }
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/header"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -29,7 +30,9 @@
 	idleTimeout    = 5 * time.Second // Age after which an idle connection is not used again.
 	maxInformation = 5               // Informational (1xx) answers before the final one.
 	maxHeaderBytes = 1 << 20
-	bufferSize     = 4096 // Bytes of each read and write buffer.
+	bufferSize     = 4096     // Bytes of each read and write buffer.
+	maxSettled     = 4 << 10  // Bytes of a refusal that are read for the sake of its connection.
+	maxSkipped     = 64 << 10 // Bytes of an answer to another request that are skipped.
 )
 
 // Request is one attempt at one backend server.
@@ -42,6 +45,10 @@
 	ContentLength int64     // Bytes in Body; -1 if unknown.
 	ID            string    // Identifier that the backend server echoes.
 	Idempotent    bool      // May use an idle connection, which can fail in a way that another attempt would cure.
+
+	// Fresh is the age up to which an idle connection may be used for a request
+	// that is not idempotent.
+	Fresh time.Duration
 }
 
 // Answer is what a backend server sent. Body returns an error unless the whole
@@ -65,6 +72,11 @@
 type Client struct {
 	Address netip.AddrPort
 
+	// Dialect reads the answers; nil means the project's own headers. With a
+	// dialect the caller of Do has marked the request, answers to other
+	// requests are skipped, and an answer may end with its connection.
+	Dialect dialect.Dialect
+
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
@@ -74,7 +86,7 @@
 // type *failure.Failure; a kind whose outcome is NotRun means that no byte was
 // sent, or that the backend server said that it did not run the request.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
-	conn, err := c.connection(ctx, r.Idempotent)
+	conn, err := c.connection(ctx, r)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, failure.FromContext(ctx, false)
@@ -142,7 +154,9 @@
 		// An empty value keeps net/http from adding one of its own.
 		r.Header["User-Agent"] = []string{""}
 	}
-	r.Header.Set(header.RequestID, r.ID)
+	if x.client.Dialect == nil {
+		r.Header.Set(header.RequestID, r.ID)
+	}
 	return wire
 }
 
@@ -169,13 +183,19 @@
 	if err != nil {
 		return nil, x.broken(err)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.Outcome) == string(kind.NotRun) {
+	x.conn.learnKeep(resp.Header)
+	said := x.describe(resp)
+	switch {
+	case said.Misdirected:
+		return nil, failure.New(kind.OtherIncarnation, "", nil)
+	case said.NotRun:
+		x.settle(resp)
 		return nil, failure.New(kind.ShedByBackendServer, "", nil)
-	}
-	if id := resp.Header.Get(header.RequestID); id != "" && id != x.request.ID {
+	case said.ID != "" && said.ID != x.request.ID:
 		return nil, failure.New(kind.ForeignAnswer, "", nil)
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(x.request.Method, resp.StatusCode) {
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && hasBody(x.request.Method, resp.StatusCode)
+	if unframed && x.client.Dialect == nil {
 		// The end of such a body cannot be told from a lost connection.
 		return nil, failure.New(kind.BrokenAnswer, "the answer has neither a length nor chunks", nil)
 	}
@@ -189,7 +209,26 @@
 	}, nil
 }
 
-// readHeader skips informational answers.
+// describe reads what the backend server said in the header.
+func (x *exchange) describe(resp *http.Response) dialect.Answer {
+	if d := x.client.Dialect; d != nil {
+		return d.Answer(resp.StatusCode, resp.Header)
+	}
+	return dialect.Answer{
+		NotRun: resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.Outcome) == string(kind.NotRun),
+		ID:     resp.Header.Get(header.RequestID),
+	}
+}
+
+// settle reads the rest of a short refusal, so that its connection can be used
+// again.
+func (x *exchange) settle(resp *http.Response) {
+	_, err := io.CopyN(io.Discard, resp.Body, maxSettled)
+	x.finish(errors.Is(err, io.EOF) && !resp.Close)
+}
+
+// readHeader skips informational answers, and with a dialect also whole answers
+// to other requests, which a backend server may send late.
 func (x *exchange) readHeader() (*http.Response, error) {
 	x.conn.limit.left = maxHeaderBytes
 	x.conn.limit.on = true
@@ -200,7 +239,15 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			if !x.foreign(resp) {
+				return resp, nil
+			}
+			x.conn.limit.on = false
+			if _, err := io.CopyN(io.Discard, resp.Body, maxSkipped); !errors.Is(err, io.EOF) || resp.Close {
+				return nil, errors.New("answer to another request cannot be skipped")
+			}
+			x.conn.limit.left, x.conn.limit.on = maxHeaderBytes, true
+			continue
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("backend server switched protocols")
@@ -209,6 +256,16 @@
 	return nil, errors.New("too many informational answers")
 }
 
+// foreign reports whether an answer belongs to another request and can be
+// skipped.
+func (x *exchange) foreign(resp *http.Response) bool {
+	if x.client.Dialect == nil {
+		return false
+	}
+	id := x.describe(resp).ID
+	return id != "" && id != x.request.ID
+}
+
 // broken classifies an error after the request was sent, wholly or in part.
 func (x *exchange) broken(err error) *failure.Failure {
 	if x.ctx.Err() != nil {
--- a/internal/config/check/check.go
+++ b/internal/config/check/check.go
@@ -22,6 +22,9 @@
 	MaxQueueWait  = time.Minute
 	MaxRate       = 1e9 // Requests per second.
 	MaxBurst      = 1_000_000_000
+	MaxWeight     = 1e9
+	MaxAttempts   = 100
+	MaxPriority   = 1_000
 
 	MaxRoutes    = 10_000
 	MaxCustomers = 100_000
--- a/internal/config/check/route.go
+++ b/internal/config/check/route.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"math"
 	"path"
 	"slices"
 	"strings"
@@ -21,15 +22,50 @@
 				c.add("Idempotent", "has %s, which is not among Methods", display(m))
 			}
 		}
-		c.reference("Pool", o.Pool, pools)
+		c.destination(o, pools)
 		c.duration("Timeout", o.Timeout, MaxTimeout)
-		for _, other := range prefixes[o.Prefix] {
+		for _, other := range prefixes[o.Host+o.Prefix] {
 			if overlap(o.Methods, other.Methods) {
 				c.add("Prefix", "serves the same requests as Route %s", display(other.Name))
 				break
 			}
 		}
-		prefixes[o.Prefix] = append(prefixes[o.Prefix], o)
+		prefixes[o.Host+o.Prefix] = append(prefixes[o.Host+o.Prefix], o)
+	}
+}
+
+// destination checks that the route names one pool, or several with weights.
+func (c *checker) destination(o set.Route, pools map[string]bool) {
+	c.duration("Target", o.Target, MaxTimeout)
+	switch o.Repeat {
+	case "", set.RepeatAlways, set.RepeatNever:
+	default:
+		c.add("Repeat", "is %s, must be %s, %s or empty", display(o.Repeat), set.RepeatAlways, set.RepeatNever)
+	}
+	if o.Attempts < 0 || o.Attempts > MaxAttempts {
+		c.add("Attempts", "is %d, must be from 0 to %d", o.Attempts, MaxAttempts)
+	}
+	if o.Priority < 0 || o.Priority > MaxPriority {
+		c.add("Priority", "is %d, must be from 0 to %d", o.Priority, MaxPriority)
+	}
+	if len(o.Split) == 0 {
+		c.reference("Pool", o.Pool, pools)
+		return
+	}
+	if o.Pool != "" {
+		c.add("Pool", "is set beside Split")
+	}
+	c.bound("Split", len(o.Split), MaxReferences)
+	sum := 0.0
+	for _, s := range o.Split {
+		c.reference("Split", s.Pool, pools)
+		if math.IsNaN(s.Weight) || s.Weight < 0 || s.Weight > MaxWeight {
+			c.add("Split", "has the weight %g, must be from 0 to %g", s.Weight, float64(MaxWeight))
+		}
+		sum += s.Weight
+	}
+	if sum <= 0 {
+		c.add("Split", "has no weight above 0")
 	}
 }
 
--- a/internal/config/set/order.go
+++ b/internal/config/set/order.go
@@ -19,6 +19,9 @@
 	}
 	for i := range c.Routes {
 		c.Routes[i].Methods = trimmed(c.Routes[i].Methods)
+		if len(c.Routes[i].Split) == 0 {
+			c.Routes[i].Split = nil
+		}
 		c.Routes[i].Idempotent = trimmed(c.Routes[i].Idempotent)
 	}
 	for i := range c.Customers {
--- a/internal/config/set/set.go
+++ b/internal/config/set/set.go
@@ -13,23 +13,44 @@
 	Operators []Operator `json:",omitempty"`
 }
 
-// Route sends requests whose path starts with Prefix to a pool. The longest
-// matching prefix wins.
+// Route sends requests whose path starts with Prefix to a pool, or to several
+// pools by weight. The longest matching prefix of the host wins.
 type Route struct {
 	Name       string
+	Host       string        `json:",omitempty"` // Host served; empty means every host.
 	Prefix     string        // Path prefix, matched on whole segments.
+	Subtree    bool          `json:",omitempty"` // Serves only what lies below Prefix, not Prefix itself.
 	Methods    []string      `json:",omitempty"` // Methods served; empty means all.
-	Pool       string        // Name of the pool.
+	Pool       string        `json:",omitempty"` // Name of the pool; empty where Split names several.
+	Split      []Share       `json:",omitempty"` // Pools that share the requests.
+	Upload     bool          `json:",omitempty"` // Bodies are large; never sent again.
+	Attempts   int           `json:",omitempty"` // Most backend servers that one request is sent to; zero means DefaultAttempts.
+	Priority   int           `json:",omitempty"` // Rank; 0 goes first.
+	Target     time.Duration `json:",omitempty"` // Time within which an answer is worth most; zero means a quarter of the timeout.
 	Open       bool          `json:",omitempty"` // Served without a key.
 	Idempotent []string      `json:",omitempty"` // Methods that may be sent again; empty means GET, HEAD and OPTIONS.
+	Repeat     string        `json:",omitempty"` // RepeatAlways or RepeatNever; empty means by Idempotent.
 	Timeout    time.Duration `json:",omitempty"` // Longest time for a whole answer; zero means DefaultTimeout.
 }
 
+// Values of a route's Repeat.
+const (
+	RepeatAlways = "Always" // Requests may be sent again whatever their method.
+	RepeatNever  = "Never"  // Requests run at most once whatever their method.
+)
+
+// Share is the part of a route's requests that a pool gets.
+type Share struct {
+	Pool   string  // Name of the pool.
+	Weight float64 // Relative to the sum of the route's weights.
+}
+
 // Customer is whom a key acts for. Its limit counts across the whole fleet.
 type Customer struct {
-	Name   string
-	Limit  string   // Name of the limit.
-	Routes []string `json:",omitempty"` // Names of the routes it may use; empty means all.
+	Name     string
+	Limit    string   // Name of the limit.
+	Routes   []string `json:",omitempty"` // Names of the routes it may use; empty means all.
+	Priority int      `json:",omitempty"` // Rank of its requests; goes before the route's unless zero.
 }
 
 // Key lets its bearer act as a customer. Only the hash of its secret is kept.
@@ -73,4 +94,5 @@
 	DefaultTimeout   = 10 * time.Second
 	DefaultQueueWait = 100 * time.Millisecond
 	DefaultProbePath = "/health"
+	DefaultAttempts  = 3
 )
--- a/internal/config/snapshot/route.go
+++ b/internal/config/snapshot/route.go
@@ -25,6 +25,35 @@
 	}
 }
 
+// Match returns the route for a request to a host. Routes of that host go
+// before those of every host, and the longest prefix decides. Unlike Route it
+// takes the path as it is: whoever calls it forwards the same bytes, and hands
+// the request only to backend servers that read paths by prefix themselves.
+func (s *Snapshot) Match(host, method, path string) (set.Route, bool) {
+	if r, ok := s.below(s.hosts[host], method, path); ok || host == "" {
+		return r, ok
+	}
+	return s.below(s.hosts[""], method, path)
+}
+
+func (s *Snapshot) below(routes map[string][]int32, method, path string) (set.Route, bool) {
+	if len(routes) == 0 || path == "" || path[0] != '/' {
+		return set.Route{}, false
+	}
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := s.exactly(routes[path[:end]], method, path, end); ok {
+			return r, true
+		}
+	}
+	return s.exactly(routes["/"], method, path, 0)
+}
+
+// exactly returns the route of one prefix, which ends before the byte at end.
+func (s *Snapshot) exactly(routes []int32, method, path string, end int) (set.Route, bool) {
+	r, ok := s.serving(method, routes)
+	return r, ok && (!r.Subtree || end < len(path))
+}
+
 // deepest cuts the path to the most segments that any prefix has, so that the
 // time of a lookup does not grow with the path.
 func (s *Snapshot) deepest(path string) string {
--- a/internal/config/snapshot/snapshot.go
+++ b/internal/config/snapshot/snapshot.go
@@ -19,8 +19,9 @@
 	revision  uint64
 	set       set.Set
 	routes    map[string][]int32 // Indices of the routes of a prefix.
-	depth     int                // Most segments of a prefix.
-	named     map[string]int32   // Indices of routes by name.
+	hosts     map[string]map[string][]int32
+	depth     int              // Most segments of a prefix.
+	named     map[string]int32 // Indices of routes by name.
 	customers map[string]int32
 	limits    map[string]int32
 	pools     map[string]int32
@@ -43,7 +44,12 @@
 		keys:      index(s.Keys, func(o set.Key) (Hash, bool) { return parseHash(o.Hash) }),
 		operators: index(s.Operators, func(o set.Operator) (Hash, bool) { return parseHash(o.Hash) }),
 	}
+	n.hosts = make(map[string]map[string][]int32)
 	for i, r := range s.Routes {
+		if n.hosts[r.Host] == nil {
+			n.hosts[r.Host] = make(map[string][]int32)
+		}
+		n.hosts[r.Host][r.Prefix] = append(n.hosts[r.Host][r.Prefix], int32(i))
 		n.routes[r.Prefix] = append(n.routes[r.Prefix], int32(i))
 		n.depth = max(n.depth, strings.Count(r.Prefix, "/"))
 	}
--- /dev/null
+++ b/internal/limit/quota/quota_test.go
@@ -0,0 +1,64 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertturn.example/filbertturn/internal/limit/quota"
+)
+
+// TestBucket_Take plays a customer that sends without pause and checks every
+// window that begins at an admission.
+func TestBucket_Take(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(1, 50).Draw(t, "rate")
+		burst := rapid.Float64Range(1, 50).Draw(t, "burst")
+		now := time.Unix(0, 0)
+		var b quota.Bucket
+		var admitted []time.Time
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "gap")) * time.Millisecond)
+			if b.Take(now, rate, burst) == 0 {
+				admitted = append(admitted, now)
+			}
+		}
+		for i, from := range admitted {
+			for j, to := range admitted[i:] {
+				want := burst + rate*to.Sub(from).Seconds() + 1e-6
+				if got := float64(j + 1); got > want {
+					t.Fatalf("got %g requests in %s, want at most %g", got, to.Sub(from), want)
+				}
+			}
+		}
+	})
+}
+
+func TestBucket_Take_wait(t *testing.T) {
+	var b quota.Bucket
+	now := time.Unix(0, 0)
+	for b.Take(now, 2, 4) == 0 {
+	}
+	wait := b.Take(now, 2, 4)
+	if got := b.Take(now.Add(wait), 2, 4); got != 0 {
+		t.Errorf("after the time to come back: got a wait of %s, want 0", got)
+	}
+}
+
+func TestBucket_TakeShare(t *testing.T) {
+	const nodes = 10
+	admitted := 0
+	for range nodes {
+		var b quota.Bucket
+		for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+			if b.TakeShare(time.Unix(0, 0).Add(at), 20, nodes) == 0 {
+				admitted++
+			}
+		}
+	}
+	// All nodes alone admit the rate over ten seconds and one request each.
+	if want := 20*10 + nodes; admitted > want {
+		t.Errorf("got %d requests, want at most %d", admitted, want)
+	}
+}
--- /dev/null
+++ b/internal/node/discovery/discovery.go
@@ -0,0 +1,358 @@
+// Package discovery finds the other nodes of the fleet. A node writes a record
+// of itself to the depot, reads those of the others, and introduces itself to
+// them; from then on nodes tell one another what changes.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/clock/timer"
+	"filbertturn.example/filbertturn/internal/node/depot"
+	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/peer/question"
+)
+
+// Prefix is that of the records in the depot.
+const Prefix = "filbertturn/nodes/"
+
+const (
+	recordTTL = 10 * time.Second
+	renewal   = 2 * time.Second // Time between two renewals of the record's lease.
+	callTime  = 1500 * time.Millisecond
+	review    = 10 * time.Second // Time between two reads of all records.
+	askTime   = time.Second      // Time in which a node must answer an introduction.
+	askTries  = 5                // Introductions of a change to one node.
+	askPause  = 700 * time.Millisecond
+	silence   = 20 * time.Second // Time after which a node without a record is forgotten.
+)
+
+// Record is what a node writes about itself.
+type Record struct {
+	Name        string
+	Address     netip.AddrPort // Address for other nodes.
+	DataCentre  string
+	Service     string // Service of the backend server beside it.
+	Incarnation uint64
+}
+
+// Presence is a node with what it said last of its backend server.
+type Presence struct {
+	Record
+	Sequence uint64
+	Load     booking.Load
+	Leaving  bool
+}
+
+// Discovery keeps the list of nodes.
+type Discovery struct {
+	Self  Record
+	Depot depot.Depot
+	Mesh  *link.Mesh
+	Load  func(now time.Time) booking.Load
+	Log   zerolog.Logger
+
+	// Heard is called with what a node said of itself, and Lost when it is gone.
+	Heard func(now time.Time, p Presence)
+	Lost  func(a netip.AddrPort)
+
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	joined   atomic.Bool
+
+	mu    sync.Mutex
+	known map[netip.AddrPort]*peer
+	lease int64
+}
+
+// peer is a node that is known.
+type peer struct {
+	presence Presence
+	heard    time.Time
+	missing  int // Reads of all records in a row that lacked it.
+}
+
+// Joined reports whether the records of the other nodes were read.
+func (d *Discovery) Joined() bool {
+	return d.joined.Load()
+}
+
+// Nodes returns the number of nodes with this one.
+func (d *Discovery) Nodes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.known) + 1
+}
+
+// Addresses returns the addresses of all nodes with this one, sorted.
+func (d *Discovery) Addresses() []netip.AddrPort {
+	d.mu.Lock()
+	list := append(slices.Collect(maps.Keys(d.known)), d.Self.Address)
+	d.mu.Unlock()
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list
+}
+
+// Start joins the fleet and keeps the record until ctx ends.
+func (d *Discovery) Start(ctx context.Context, timers *timer.Service) {
+	go d.join(ctx)
+	timers.Subscribe(renewal, func(timer.Tick) { d.renew(ctx) })
+	timers.Subscribe(review+rand.N(renewal), func(t timer.Tick) { d.review(ctx, t.Now) })
+}
+
+func (d *Discovery) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := d.register(ctx)
+		if err == nil {
+			err = d.read(ctx, false)
+		}
+		if err == nil {
+			d.joined.Store(true)
+			d.Log.Info().Int("Nodes", d.Nodes()).Msg("joined the fleet")
+			return
+		}
+		d.Log.Warn().Err(err).Msg("cannot join the fleet yet")
+		sleep(ctx, askPause/2+rand.N(askPause/2))
+	}
+}
+
+// register writes the record under a new lease.
+func (d *Discovery) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	lease, err := d.Depot.Grant(ctx, recordTTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(d.Self)
+	if err != nil {
+		return err
+	}
+	if err := d.Depot.Put(ctx, Prefix+d.Self.Name, value, lease.ID); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.lease = lease.ID
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *Discovery) renew(ctx context.Context) {
+	d.mu.Lock()
+	lease := d.lease
+	d.mu.Unlock()
+	if lease == 0 || d.leaving.Load() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTime)
+	err := d.Depot.Keep(call, lease)
+	cancel()
+	if !errors.Is(err, depot.ErrNoLease) {
+		return
+	}
+	d.Log.Warn().Msg("the lease of this node's record has ended; it is written again")
+	if err := d.register(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("cannot write this node's record")
+	}
+}
+
+// review reads all records, for those whose introduction was lost.
+func (d *Discovery) review(ctx context.Context, now time.Time) {
+	if !d.Joined() || d.leaving.Load() {
+		return
+	}
+	if err := d.read(ctx, true); err != nil {
+		return
+	}
+	d.mu.Lock()
+	var gone []netip.AddrPort
+	for a, p := range d.known {
+		if p.missing >= 2 && now.Sub(p.heard) >= silence {
+			gone = append(gone, a)
+			delete(d.known, a)
+		}
+	}
+	d.mu.Unlock()
+	for _, a := range gone {
+		d.Log.Info().Stringer("Address", a).Msg("node is gone")
+		d.Lost(a)
+	}
+}
+
+// read takes in all records and introduces this node to those that are new.
+func (d *Discovery) read(ctx context.Context, stale bool) error {
+	call, cancel := context.WithTimeout(ctx, callTime)
+	page, err := d.Depot.List(call, Prefix, stale)
+	cancel()
+	if err != nil {
+		return err
+	}
+	listed := make(map[netip.AddrPort]bool)
+	for _, item := range page.Items {
+		var r Record
+		if err := json.Unmarshal(item.Value, &r); err != nil || !r.Address.IsValid() || r.Address == d.Self.Address {
+			continue
+		}
+		listed[r.Address] = true
+		if d.learn(r) {
+			go d.introduce(ctx, r.Address)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for a, p := range d.known {
+		p.missing++
+		if listed[a] {
+			p.missing = 0
+		}
+	}
+	return nil
+}
+
+// learn adds a node that a record names, and reports whether it is new.
+func (d *Discovery) learn(r Record) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known == nil {
+		d.known = make(map[netip.AddrPort]*peer)
+	}
+	if old := d.known[r.Address]; old != nil && old.presence.Incarnation >= r.Incarnation {
+		return false
+	}
+	d.known[r.Address] = &peer{presence: Presence{Record: r}, heard: time.Now()}
+	return true
+}
+
+// Announce tells all nodes what changed at this one.
+func (d *Discovery) Announce(ctx context.Context) {
+	d.sequence.Add(1)
+	d.mu.Lock()
+	list := slices.Collect(maps.Keys(d.known))
+	d.mu.Unlock()
+	for _, a := range list {
+		go d.introduce(ctx, a)
+	}
+}
+
+// Leave tells all nodes that this one takes no more requests, and removes its
+// record.
+func (d *Discovery) Leave(ctx context.Context) {
+	d.leaving.Store(true)
+	d.Announce(ctx)
+	call, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if err := d.Depot.Remove(call, Prefix+d.Self.Name); err != nil {
+		d.Log.Warn().Err(err).Msg("cannot remove this node's record; its lease will end")
+	}
+}
+
+// introduce tells one node of this one until it replies or there is newer to
+// tell.
+func (d *Discovery) introduce(ctx context.Context, to netip.AddrPort) {
+	sequence := d.sequence.Load()
+	for range askTries {
+		if d.sequence.Load() != sequence || ctx.Err() != nil {
+			return
+		}
+		payload, err := proto.Marshal(d.presence(time.Now()))
+		if err != nil {
+			d.Log.Error().Err(err).Msg("cannot encode this node's presence")
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, askTime)
+		reply, err := d.Mesh.Ask(call, to, question.Presence, payload)
+		cancel()
+		if err == nil {
+			if p, err := decode(reply); err == nil {
+				d.hear(time.Now(), p)
+			}
+			return
+		}
+		sleep(ctx, askPause+rand.N(askPause/2))
+	}
+	d.Log.Debug().Stringer("Address", to).Msg("node does not answer introductions")
+}
+
+// Answer takes in a node's introduction and returns this node's.
+func (d *Discovery) Answer(now time.Time, payload []byte) ([]byte, error) {
+	p, err := decode(payload)
+	if err != nil {
+		return nil, err
+	}
+	d.learn(p.Record)
+	d.hear(now, p)
+	return proto.Marshal(d.presence(now))
+}
+
+func (d *Discovery) hear(now time.Time, p Presence) {
+	if p.Address == d.Self.Address {
+		return
+	}
+	d.mu.Lock()
+	known := d.known[p.Address]
+	newer := known != nil && (p.Incarnation > known.presence.Incarnation ||
+		p.Incarnation == known.presence.Incarnation && p.Sequence >= known.presence.Sequence)
+	if newer {
+		known.presence, known.heard = p, now
+	}
+	d.mu.Unlock()
+	if newer {
+		d.Heard(now, p)
+	}
+}
+
+func (d *Discovery) presence(now time.Time) *peerpb.Presence {
+	l := d.Load(now)
+	return &peerpb.Presence{
+		Name: d.Self.Name, Address: d.Self.Address.String(), DataCentre: d.Self.DataCentre, Service: d.Self.Service,
+		Incarnation: d.Self.Incarnation, Sequence: d.sequence.Load(), Leaving: d.leaving.Load(),
+		Load: &peerpb.Load{
+			Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
+			Failing: float32(l.Failing), Serving: l.Serving && !d.leaving.Load(), HoldNanos: int64(l.Hold),
+		},
+	}
+}
+
+func decode(payload []byte) (Presence, error) {
+	var m peerpb.Presence
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		return Presence{}, err
+	}
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return Presence{}, err
+	}
+	return Presence{
+		Record: Record{
+			Name: m.GetName(), Address: address, DataCentre: m.GetDataCentre(), Service: m.GetService(), Incarnation: m.GetIncarnation(),
+		},
+		Sequence: m.GetSequence(),
+		Leaving:  m.GetLeaving(),
+		Load: booking.Load{
+			Running: int(m.GetLoad().GetRunning()), Waiting: int(m.GetLoad().GetWaiting()), Slots: int(m.GetLoad().GetSlots()),
+			Failing: float64(m.GetLoad().GetFailing()), Serving: m.GetLoad().GetServing(), Hold: time.Duration(m.GetLoad().GetHoldNanos()),
+		},
+	}, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/dispatch/dispatch.go
@@ -0,0 +1,155 @@
+// Package dispatch sends a request from the node that a caller is connected to
+// to a node beside a backend server that can run it, and to another one where
+// that is allowed and pays.
+package dispatch
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/request/allowance"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+	"filbertturn.example/filbertturn/internal/request/replay"
+	"filbertturn.example/filbertturn/internal/route/ranking"
+)
+
+// Dispatch sends requests.
+type Dispatch struct {
+	Self       netip.AddrPort
+	DataCentre string
+	Host       courier.Host // Runs requests on the backend server beside this node.
+	Courier    *courier.Courier
+	Terms      func() allowance.Terms
+	Log        zerolog.Logger
+
+	mu         sync.Mutex // Guards the fields below.
+	ranking    ranking.Ranking
+	allowances map[string]*allowance.Allowance // By service.
+}
+
+// Request is a request with what the route allows.
+type Request struct {
+	Order    order.Order
+	Body     *replay.Body // Nil if there is none.
+	Attempts int          // Most backend servers that it is sent to.
+}
+
+// Forward sends r until a backend server answers, or it must not be or is not
+// worth being sent again. Its error is a *failure.Failure.
+func (d *Dispatch) Forward(ctx context.Context, r *Request) (*exchange.Answer, error) {
+	d.allowance(r.Order.Service, func(a *allowance.Allowance, t allowance.Terms) bool {
+		a.Request(time.Now(), t)
+		return true
+	})
+	s := &sending{dispatch: d, request: r, ctx: ctx}
+	return s.run()
+}
+
+func (d *Dispatch) allowance(service string, use func(*allowance.Allowance, allowance.Terms) bool) bool {
+	terms := d.Terms()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.allowances == nil {
+		d.allowances = make(map[string]*allowance.Allowance)
+	}
+	a := d.allowances[service]
+	if a == nil {
+		a = new(allowance.Allowance)
+		d.allowances[service] = a
+	}
+	return use(a, terms)
+}
+
+// mayRepeat takes a repeat out of the service's budget.
+func (d *Dispatch) mayRepeat(service string) bool {
+	return d.allowance(service, func(a *allowance.Allowance, t allowance.Terms) bool {
+		return a.Repeat(time.Now(), t)
+	})
+}
+
+// Know adds a node.
+func (d *Dispatch) Know(now time.Time, n ranking.Node, l booking.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranking.Know(n)
+	d.ranking.Hear(now, n.Address, l)
+}
+
+// Forget removes a node.
+func (d *Dispatch) Forget(a netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranking.Forget(a)
+}
+
+// pick chooses a node and counts the request there.
+func (d *Dispatch) pick(o *order.Order, exclude []netip.AddrPort, unsure bool) (netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if self := d.Host.Load(now); true {
+		d.ranking.Hear(now, d.Self, self)
+	}
+	to, ok := d.ranking.Pick(now, ranking.Choice{
+		Service: o.Service, DataCentre: d.DataCentre, Large: isLarge(o), Unsure: unsure, Exclude: exclude, Random: rand.Float64(),
+	})
+	if ok {
+		d.ranking.Sent(to)
+	}
+	return to, ok
+}
+
+// isLarge tells whether the body is worth keeping in the data centre.
+func isLarge(o *order.Order) bool {
+	const large = 16 << 10 // Bytes.
+	return o.ContentLength < 0 || o.ContentLength >= large
+}
+
+// learn takes in the end of an offer.
+func (d *Dispatch) learn(to netip.AddrPort, r courier.Reply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.ranking.Done(to)
+	if r.Load != nil {
+		d.ranking.Hear(now, to, *r.Load)
+	}
+	if r.Err == nil {
+		return
+	}
+	switch failure.From(r.Err).Kind {
+	case kind.UnreachablePeer:
+		d.ranking.Miss(now, to)
+	case kind.LostPeer:
+		d.ranking.Miss(now, to)
+		d.ranking.Fail(now, to)
+	case kind.NoCapacity, kind.CancelledByCaller, kind.DeadlineBeforeRun:
+	default:
+		d.ranking.Fail(now, to)
+	}
+}
+
+// send makes one offer to a node, which may be this one.
+func (d *Dispatch) send(ctx context.Context, to netip.AddrPort, o *order.Order, body func() (io.Reader, error)) courier.Reply {
+	if to != d.Self {
+		return d.Courier.Offer(ctx, to, o, body)
+	}
+	sent := false
+	answer, err := d.Host.Run(ctx, o, func(courier.Verdict) {}, func() (io.Reader, error) {
+		sent = true
+		return body()
+	})
+	load := d.Host.Load(time.Now())
+	return courier.Reply{Answer: answer, Err: err, Sent: sent, Load: &load}
+}
--- /dev/null
+++ b/internal/node/dispatch/sending.go
@@ -0,0 +1,351 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+const (
+	// overduePart of the objective is the time after which an answer to an
+	// idempotent request is asked for at a second backend server.
+	overduePart = 0.5
+
+	// maxGathered is the longest answer, in bytes, that is read to its end
+	// before the caller sees any of it, so that another attempt can replace it.
+	maxGathered = 64 << 10
+
+	// leastRetryAfter is the least time to come back that a caller is told.
+	leastRetryAfter = 100 * time.Millisecond
+
+	// spread is the greatest part that is added to it, so that callers do not
+	// come back together.
+	spread = 0.5
+)
+
+// offersAt is the number of nodes that a request is offered to at each level.
+var offersAt = [...]int{order.Trusted: 5, order.Queued: 4, order.Any: 3}
+
+// sending is one request on its way.
+type sending struct {
+	dispatch *Dispatch
+	request  *Request
+	ctx      context.Context
+
+	mu       sync.Mutex
+	used     []netip.AddrPort // Nodes whose backend server it was sent to.
+	attempts int
+	soonest  time.Duration // Least time to come back that a node told; zero if none did.
+}
+
+// outcome is the end of an attempt.
+type outcome struct {
+	answer *exchange.Answer
+	err    *failure.Failure
+	end    context.CancelFunc
+}
+
+// run makes attempts until one succeeds or another is not allowed.
+func (s *sending) run() (*exchange.Answer, error) {
+	var last outcome
+	for {
+		last = last.followed(s.race())
+		if !s.again(last) {
+			return s.finish(last)
+		}
+	}
+}
+
+// finish returns the answer with its context bound to its body.
+func (s *sending) finish(o outcome) (*exchange.Answer, error) {
+	if o.err != nil {
+		o.release()
+		if o.err.Kind.NotRun() && o.err.RetryAfter == 0 {
+			o.err.RetryAfter = s.retryAfter()
+		}
+		return nil, o.err
+	}
+	o.answer.Body = &endingBody{ReadCloser: o.answer.Body, end: o.end}
+	return o.answer, nil
+}
+
+func (s *sending) retryAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	base := max(s.soonest, leastRetryAfter)
+	return base + time.Duration(spread*rand.Float64()*float64(base))
+}
+
+// again decides whether another attempt is allowed and can end better. What is
+// told in refusals of nodes has been tried already within an attempt.
+func (s *sending) again(o outcome) bool {
+	if s.ctx.Err() != nil || s.count() >= s.request.Attempts || !s.replayable() {
+		return false
+	}
+	worth := false
+	if o.err == nil {
+		worth = s.request.Order.Idempotent && o.answer.Status >= http.StatusInternalServerError
+	} else {
+		switch o.err.Kind {
+		case kind.ShedByBackendServer, kind.OtherIncarnation, kind.UnreachableBackendServer:
+			worth = true
+		case kind.BrokenAnswer, kind.ForeignAnswer, kind.LostPeer:
+			worth = s.request.Order.Idempotent
+		default:
+		}
+	}
+	if !worth {
+		return false
+	}
+	allowed := o.err != nil && o.err.Kind == kind.UnreachableBackendServer || s.dispatch.mayRepeat(s.request.Order.Service)
+	s.log("repeat", o, allowed)
+	return allowed
+}
+
+func (s *sending) log(decision string, o outcome, allowed bool) {
+	e := s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Str("Decision", decision).
+		Int("Attempts", s.count()).Bool("Allowed", allowed)
+	if o.err != nil {
+		e = e.Str("Kind", o.err.Kind.String())
+	} else if o.answer != nil {
+		e = e.Int("Status", o.answer.Status)
+	}
+	e.Msg("another attempt")
+}
+
+func (s *sending) replayable() bool {
+	return s.request.Body == nil || s.request.Body.Kept()
+}
+
+func (s *sending) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts
+}
+
+// race makes an attempt, and a second one when the answer is overdue and
+// nothing speaks against it. The better end counts, and the other attempt is
+// cancelled.
+func (s *sending) race() outcome {
+	first := s.launch()
+	o := &s.request.Order
+	if !o.Idempotent || s.request.Body != nil || s.count() >= s.request.Attempts-1 {
+		return <-first
+	}
+	timer := time.NewTimer(time.Duration(overduePart * float64(o.Objective)))
+	defer timer.Stop()
+	select {
+	case end := <-first:
+		return end
+	case <-timer.C:
+	}
+	// An offer that waits in a queue has not been sent and costs no budget.
+	if s.count() == 0 || !s.dispatch.mayRepeat(o.Service) {
+		return <-first
+	}
+	s.log("hedge", outcome{}, true)
+	second := s.launch()
+	select {
+	case end := <-first:
+		return better(end, second)
+	case end := <-second:
+		return better(end, first)
+	}
+}
+
+// better returns the first end if it is good, or else the better of the two.
+func better(end outcome, other <-chan outcome) outcome {
+	if end.failed() {
+		return end.followed(<-other)
+	}
+	go func() { (<-other).release() }()
+	return end
+}
+
+func (o outcome) failed() bool {
+	return o.err != nil || o.answer == nil || o.answer.Status >= http.StatusInternalServerError
+}
+
+// followed returns what to tell the caller after another attempt. An answer goes
+// before a failure; and where one attempt may have run, the refusal of the other
+// must not claim that none did.
+func (o outcome) followed(next outcome) outcome {
+	switch {
+	case o.answer == nil && o.err == nil:
+		return next
+	case next.answer != nil && (o.answer == nil || !next.failed()):
+		o.release()
+		return next
+	case o.answer != nil:
+		next.release()
+		return o
+	case !o.err.Kind.NotRun() && next.err.Kind.NotRun():
+		next.release()
+		return o
+	}
+	o.release()
+	return next
+}
+
+// release gives up an attempt that nobody wants.
+func (o outcome) release() {
+	if o.answer != nil {
+		_ = o.answer.Body.Close()
+	}
+	if o.end != nil {
+		o.end()
+	}
+}
+
+// launch starts an attempt.
+func (s *sending) launch() <-chan outcome {
+	ctx, cancel := context.WithCancel(s.ctx)
+	result := make(chan outcome, 1)
+	go func() {
+		answer, err := s.place(ctx)
+		o := outcome{answer: answer, end: cancel}
+		if err != nil {
+			o.err = failure.From(err)
+		}
+		result <- o
+	}()
+	return result
+}
+
+// place offers the request to one node after the other, first to those that can
+// start it at once, until one takes it.
+func (s *sending) place(ctx context.Context) (*exchange.Answer, error) {
+	var last error
+	for level := order.Trusted; level <= order.Any; level++ {
+		exclude := s.excluded()
+		for range offersAt[level] {
+			if ctx.Err() != nil {
+				return nil, failure.FromContext(ctx, false)
+			}
+			to, ok := s.dispatch.pick(&s.request.Order, exclude, level == order.Any)
+			if !ok {
+				break
+			}
+			exclude = append(exclude, to)
+			reply := s.offer(ctx, to, level)
+			if reply.Err == nil {
+				return gather(ctx, reply.Answer, s.request.Order.Method)
+			}
+			last = reply.Err
+			if !s.elsewhere(to, reply) {
+				return nil, reply.Err
+			}
+		}
+	}
+	if last == nil {
+		last = failure.New(kind.NoCapacity, "no backend server of the service is known", nil)
+	}
+	return nil, last
+}
+
+func (s *sending) excluded() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.used)
+}
+
+// offer makes one offer.
+func (s *sending) offer(ctx context.Context, to netip.AddrPort, level order.Level) courier.Reply {
+	o := s.request.Order
+	o.Header = o.Header.Clone()
+	o.Level = level
+	reply := s.dispatch.send(ctx, to, &o, func() (io.Reader, error) {
+		s.mu.Lock()
+		s.used = append(s.used, to)
+		s.attempts++
+		s.mu.Unlock()
+		return s.body()
+	})
+	s.dispatch.learn(to, reply)
+	return reply
+}
+
+func (s *sending) body() (io.Reader, error) {
+	if s.request.Body == nil {
+		return nil, nil
+	}
+	r, ok := s.request.Body.Reader()
+	if !ok {
+		return nil, failure.New(kind.BrokenRequestBody, "the body cannot be sent again", nil)
+	}
+	return r, nil
+}
+
+// elsewhere tells whether the offer came to nothing before anything was sent,
+// so that another node may be asked within the same attempt.
+func (s *sending) elsewhere(to netip.AddrPort, r courier.Reply) bool {
+	f := failure.From(r.Err)
+	if f.Kind == kind.NoCapacity || f.Kind == kind.UnreachablePeer {
+		s.mu.Lock()
+		if f.RetryAfter > 0 && (s.soonest == 0 || f.RetryAfter < s.soonest) {
+			s.soonest = f.RetryAfter
+		}
+		if r.Sent {
+			// The node had taken the body and then found no backend server.
+			s.attempts--
+		}
+		s.mu.Unlock()
+		return !r.Sent || s.replayable()
+	}
+	s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Stringer("To", to).Str("Kind", f.Kind.String()).
+		Bool("Sent", r.Sent).Err(f.Err).Msg("attempt failed")
+	return false
+}
+
+// gather reads a short answer to its end, so that one that is cut short can
+// still be replaced.
+func gather(ctx context.Context, answer *exchange.Answer, method string) (*exchange.Answer, error) {
+	if answer.ContentLength < 0 || answer.ContentLength > maxGathered || method == http.MethodHead {
+		return answer, nil
+	}
+	var buf bytes.Buffer
+	_, err := io.CopyN(&buf, answer.Body, answer.ContentLength)
+	if err == nil {
+		// The end of the body tells that the answer was whole.
+		_, err = answer.Body.Read(make([]byte, 1))
+	}
+	_ = answer.Body.Close()
+	if !errors.Is(err, io.EOF) {
+		if ctx.Err() != nil {
+			return nil, failure.FromContext(ctx, true)
+		}
+		f := failure.From(err)
+		if f.Kind == kind.Internal {
+			f = failure.New(kind.BrokenAnswer, "", err)
+		}
+		return nil, f
+	}
+	answer.Body = io.NopCloser(&buf)
+	return answer, nil
+}
+
+// endingBody ends the attempt when its answer is closed.
+type endingBody struct {
+	io.ReadCloser
+	end context.CancelFunc
+}
+
+// Close ends the attempt.
+func (b *endingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end()
+	return err
+}
--- /dev/null
+++ b/internal/node/host/execution.go
@@ -0,0 +1,153 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/request/dialect"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+// maxGathered is the longest answer, in bytes, that is read to its end before
+// any of it is passed on, so that one which is cut short is never begun.
+const maxGathered = 64 << 10
+
+// execution is one request in a slot.
+type execution struct {
+	host     *Host
+	id       uint64
+	order    *order.Order
+	client   *exchange.Client
+	instance string
+	once     sync.Once
+}
+
+// begin pins the incarnation that alone may run the request.
+func (h *Host) begin(id uint64, o *order.Order) (*execution, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, serving := h.tenure.Serving()
+	if !serving || h.client == nil {
+		return nil, failure.New(kind.NoCapacity, "the backend server has left", nil)
+	}
+	return &execution{host: h, id: id, order: o, client: h.client, instance: a.Instance}, nil
+}
+
+func (x *execution) run(ctx context.Context, body io.Reader) (*exchange.Answer, error) {
+	remaining := time.Until(x.order.Deadline)
+	if remaining <= 0 {
+		x.end(booking.Abandoned)
+		return nil, failure.New(kind.DeadlineBeforeRun, "", nil)
+	}
+	x.host.Dialect.Mark(x.order.Header, dialect.Mark{
+		ID: x.order.ID, Instance: x.instance, Customer: x.order.Customer,
+		CallerService: x.order.CallerService, Remaining: remaining,
+	})
+	answer, err := x.client.Do(ctx, &exchange.Request{
+		Method: x.order.Method, Target: x.order.Target, Host: x.order.Host, Header: x.order.Header,
+		Body: body, ContentLength: x.order.ContentLength, ID: x.order.ID,
+		Idempotent: x.order.Idempotent, Fresh: fresh,
+	})
+	if err == nil {
+		answer, err = x.gather(answer)
+	}
+	if err != nil {
+		f := failure.From(err)
+		x.end(outcomeOf(f))
+		if f.Kind == kind.OtherIncarnation {
+			x.host.evict(x.instance)
+		}
+		f.BackendServer = x.host.Address
+		return nil, f
+	}
+	return answer, nil
+}
+
+// gather reads a short answer to its end and gives its slot back. A longer one
+// keeps the slot until its body is closed.
+func (x *execution) gather(answer *exchange.Answer) (*exchange.Answer, error) {
+	if answer.ContentLength > maxGathered {
+		answer.Body = &streamedBody{ReadCloser: answer.Body, x: x, status: answer.Status}
+		return answer, nil
+	}
+	var buf bytes.Buffer
+	_, err := io.CopyN(&buf, answer.Body, maxGathered+1)
+	switch {
+	case err == nil:
+		rest := answer.Body
+		answer.Body = &streamedBody{
+			ReadCloser: struct {
+				io.Reader
+				io.Closer
+			}{io.MultiReader(&buf, rest), rest},
+			x: x, status: answer.Status,
+		}
+		return answer, nil
+	case errors.Is(err, io.EOF):
+		_ = answer.Body.Close()
+		if answer.ContentLength < 0 {
+			answer.ContentLength = int64(buf.Len())
+		}
+		answer.Body = io.NopCloser(&buf)
+		x.end(statusOutcome(answer.Status))
+		return answer, nil
+	default:
+		_ = answer.Body.Close()
+		return nil, err
+	}
+}
+
+func (x *execution) end(o booking.Outcome) {
+	x.once.Do(func() { x.host.leave(x.id, o) })
+}
+
+// streamedBody gives the slot back with the answer's end.
+type streamedBody struct {
+	io.ReadCloser
+	x      *execution
+	status int
+}
+
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.x.end(statusOutcome(b.status))
+	case err != nil:
+		b.x.end(outcomeOf(failure.From(err)))
+	}
+	return n, err
+}
+
+// Close gives up the rest of the answer.
+func (b *streamedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.x.end(booking.Abandoned)
+	return err
+}
+
+func statusOutcome(status int) booking.Outcome {
+	if status >= http.StatusInternalServerError {
+		return booking.Failed
+	}
+	return booking.Answered
+}
+
+// outcomeOf tells what a failure says of the backend server.
+func outcomeOf(f *failure.Failure) booking.Outcome {
+	switch f.Kind {
+	case kind.CancelledByCaller, kind.BrokenRequestBody, kind.DeadlineBeforeRun, kind.UnreachablePeer:
+		return booking.Abandoned
+	default:
+		return booking.Failed
+	}
+}
--- /dev/null
+++ b/internal/node/host/host.go
@@ -0,0 +1,328 @@
+// Package host runs requests on the backend server beside the node. It alone
+// sends to that backend server, so that its slots, its drain and the record of
+// what ran are facts of one process.
+package host
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/backend/tenure"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/request/dialect"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+const (
+	// fresh is the age up to which a connection is used for a request that may
+	// run only once: a backend server may drop one that was idle for longer.
+	fresh = time.Second
+
+	// checkTimeout bounds the health check of a new incarnation.
+	checkTimeout = time.Second
+)
+
+// Host runs orders on one backend server.
+type Host struct {
+	Address    netip.AddrPort // Address of the backend server.
+	Dialect    dialect.Dialect
+	HealthPath func(service string) string
+	Log        zerolog.Logger
+
+	// Changed is called after the backend server came into or went out of
+	// service.
+	Changed func()
+
+	mu      sync.Mutex // Guards the fields below.
+	tenure  tenure.Tenure
+	desk    booking.Desk
+	client  *exchange.Client
+	waiting map[uint64]chan booking.Effect // Requests that wait for a slot.
+	timer   *time.Timer
+	due     time.Time // Time at which timer fires; zero if it is not set.
+	next    uint64
+	closing bool
+	active  int
+}
+
+// Announce takes in a heartbeat of the backend server.
+func (h *Host) Announce(now time.Time, a tenure.Announcement) {
+	if a.Address != h.Address {
+		h.Log.Warn().Stringer("Address", a.Address).Str("Instance", a.Instance).Msg("heartbeat names another address and is ignored")
+		return
+	}
+	h.mu.Lock()
+	effect := h.tenure.Announce(a)
+	h.apply(now, effect)
+	h.mu.Unlock()
+	h.tell(effect)
+}
+
+// Deregister takes in the word of the backend server that it leaves.
+func (h *Host) Deregister(now time.Time, instance string, born time.Time) {
+	h.mu.Lock()
+	effect := h.tenure.Deregister(instance, born)
+	h.apply(now, effect)
+	h.mu.Unlock()
+	h.tell(effect)
+}
+
+// tell logs an effect and passes it on. It is called without the lock.
+func (h *Host) tell(effect tenure.Effect) {
+	switch e := effect.(type) {
+	case tenure.Entered:
+		h.Log.Info().Str("Instance", e.Announcement.Instance).Str("Service", e.Announcement.Service).
+			Time("Born", e.Announcement.Born).Msg("backend server announced itself")
+		go h.check(e.Announcement)
+	case tenure.Updated:
+		h.opened(time.Now())
+	case tenure.Left:
+		h.Log.Info().Str("Instance", e.Announcement.Instance).Int64("Sequence", e.Announcement.Sequence).Msg("backend server leaves")
+		h.Changed()
+	case tenure.Ignored:
+		h.Log.Debug().Str("Reason", e.Reason).Msg("announcement ignored")
+	}
+}
+
+// apply carries out an effect. It is called with the lock.
+func (h *Host) apply(now time.Time, effect tenure.Effect) {
+	switch effect.(type) {
+	case tenure.Entered:
+		h.deliver(h.desk.Close(now))
+		h.desk.Reset()
+		h.renewClient()
+	case tenure.Left:
+		h.deliver(h.desk.Close(now))
+	case tenure.Updated, tenure.Ignored:
+	}
+}
+
+func (h *Host) renewClient() {
+	if h.client != nil {
+		h.client.Close()
+	}
+	h.client = &exchange.Client{Address: h.Address, Dialect: h.Dialect}
+}
+
+// opened lets requests in once the incarnation is confirmed.
+func (h *Host) opened(now time.Time) {
+	h.mu.Lock()
+	a, serving := h.tenure.Serving()
+	was := h.desk.Load(now).Serving
+	if serving && !h.closing {
+		if h.client == nil {
+			h.renewClient()
+		}
+		h.deliver(h.desk.Open(now, a.Slots))
+	}
+	changed := serving && !was && !h.closing
+	h.mu.Unlock()
+	if changed {
+		h.Log.Info().Str("Instance", a.Instance).Str("Service", a.Service).Int("Slots", a.Slots).Msg("backend server in service")
+		h.Changed()
+	}
+}
+
+// check asks a new incarnation whether it is the one that announced itself and
+// is not leaving. Its next heartbeat confirms it otherwise.
+func (h *Host) check(a tenure.Announcement) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	h.mu.Lock()
+	client := h.client
+	h.mu.Unlock()
+	answer, err := client.Do(ctx, &exchange.Request{
+		Method: http.MethodGet, Target: h.HealthPath(a.Service), Host: h.Address.String(), Header: http.Header{}, Idempotent: true,
+	})
+	if err != nil {
+		h.Log.Info().Err(err).Str("Instance", a.Instance).Msg("health check of a new backend server failed; its next heartbeat counts")
+		return
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	said := h.Dialect.Answer(answer.Status, answer.Header)
+	if err != nil || answer.Status != http.StatusOK || said.Instance != a.Instance {
+		h.Log.Info().Err(err).Int("Status", answer.Status).Str("Instance", said.Instance).Msg("health check does not confirm the new backend server")
+		return
+	}
+	h.mu.Lock()
+	h.tenure.Confirm(a.Instance)
+	h.mu.Unlock()
+	h.opened(time.Now())
+}
+
+// Load implements courier.Host.
+func (h *Host) Load(now time.Time) booking.Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.desk.Load(now)
+}
+
+// Service returns the service of the backend server in service, or nothing.
+func (h *Host) Service() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, serving := h.tenure.Serving()
+	if !serving {
+		return ""
+	}
+	return a.Service
+}
+
+// Active returns the number of requests that run or wait.
+func (h *Host) Active() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.active
+}
+
+// Close refuses requests from now on. Those under way go on.
+func (h *Host) Close(now time.Time) {
+	h.mu.Lock()
+	h.closing = true
+	h.deliver(h.desk.Close(now))
+	h.mu.Unlock()
+	h.Changed()
+}
+
+// Run implements courier.Host.
+func (h *Host) Run(ctx context.Context, o *order.Order, verdict func(courier.Verdict), body func() (io.Reader, error)) (*exchange.Answer, error) {
+	id, wait := h.enter(time.Now(), o)
+	if err := h.admit(ctx, id, wait, verdict); err != nil {
+		return nil, err
+	}
+	x, err := h.begin(id, o)
+	if err != nil {
+		h.leave(id, booking.Abandoned)
+		return nil, err
+	}
+	reader, err := body()
+	if err != nil {
+		h.leave(id, booking.Abandoned)
+		return nil, err
+	}
+	return x.run(ctx, reader)
+}
+
+// enter asks the desk for a slot.
+func (h *Host) enter(now time.Time, o *order.Order) (uint64, chan booking.Effect) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next++
+	h.active++
+	id := h.next
+	wait := make(chan booking.Effect, 2)
+	if h.waiting == nil {
+		h.waiting = make(map[uint64]chan booking.Effect)
+	}
+	h.waiting[id] = wait
+	a, serving := h.tenure.Serving()
+	if !serving || a.Service != o.Service {
+		h.deliver([]booking.Effect{booking.Refuse{ID: id}})
+		return id, wait
+	}
+	h.deliver(h.desk.Enter(now, booking.Ticket{
+		ID: id, Route: o.Route, Priority: o.Priority, Nested: o.Nested, Idempotent: o.Idempotent,
+		Level: o.Level, Deadline: o.Deadline, Objective: o.Objective,
+	}))
+	return id, wait
+}
+
+// deliver hands effects to those who wait for them and sets the timer. It is
+// called with the lock.
+func (h *Host) deliver(effects []booking.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case booking.Start:
+			h.settle(e.ID, e)
+		case booking.Refuse:
+			h.settle(e.ID, e)
+		case booking.Wait:
+			if wait := h.waiting[e.ID]; wait != nil {
+				wait <- e
+			}
+		}
+	}
+	h.arm(time.Now())
+}
+
+func (h *Host) settle(id uint64, e booking.Effect) {
+	if wait := h.waiting[id]; wait != nil {
+		wait <- e
+		delete(h.waiting, id)
+	}
+}
+
+// arm sets the timer to the desk's next tick.
+func (h *Host) arm(now time.Time) {
+	next := h.desk.Next()
+	if next.IsZero() || !h.due.IsZero() && !next.Before(h.due) {
+		return
+	}
+	h.due = next
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	h.timer = time.AfterFunc(max(next.Sub(now), time.Millisecond), h.tick)
+}
+
+func (h *Host) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.due = time.Time{}
+	h.deliver(h.desk.Tick(time.Now()))
+}
+
+// admit waits for a slot and tells the entry what becomes of its offer.
+func (h *Host) admit(ctx context.Context, id uint64, wait <-chan booking.Effect, verdict func(courier.Verdict)) error {
+	for {
+		select {
+		case e := <-wait:
+			switch e := e.(type) {
+			case booking.Start:
+				verdict(courier.Verdict{Decision: courier.Accepted, Load: h.Load(time.Now())})
+				return nil
+			case booking.Wait:
+				verdict(courier.Verdict{Decision: courier.Waiting, Load: h.Load(time.Now())})
+			case booking.Refuse:
+				verdict(courier.Verdict{Decision: courier.Refused, RetryAfter: e.RetryAfter, Load: h.Load(time.Now())})
+				h.leave(id, booking.Abandoned)
+				f := failure.New(kind.NoCapacity, "", nil)
+				f.RetryAfter = e.RetryAfter
+				return f
+			}
+		case <-ctx.Done():
+			h.leave(id, booking.Abandoned)
+			return failure.FromContext(ctx, false)
+		}
+	}
+}
+
+// leave ends a request at the desk.
+func (h *Host) leave(id uint64, o booking.Outcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.active--
+	delete(h.waiting, id)
+	h.deliver(h.desk.Leave(time.Now(), id, o))
+}
+
+// evict takes an incarnation out of service whose address answered for another.
+func (h *Host) evict(instance string) {
+	h.mu.Lock()
+	h.tenure.Evict(instance)
+	h.deliver(h.desk.Close(time.Now()))
+	h.mu.Unlock()
+	h.Log.Warn().Str("Instance", instance).Msg("another incarnation answered at the backend server's address")
+	h.Changed()
+}
--- /dev/null
+++ b/internal/node/sidecar/sidecar.go
@@ -0,0 +1,294 @@
+// Package sidecar assembles a node that runs beside one backend server, from the
+// ports that an adapter to a platform fills in, and runs it.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"filbertturn.example/filbertturn/internal/clock/timer"
+	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/node/depot"
+	"filbertturn.example/filbertturn/internal/node/discovery"
+	"filbertturn.example/filbertturn/internal/node/dispatch"
+	"filbertturn.example/filbertturn/internal/node/follower"
+	"filbertturn.example/filbertturn/internal/node/host"
+	"filbertturn.example/filbertturn/internal/node/ingress"
+	"filbertturn.example/filbertturn/internal/node/metrics"
+	"filbertturn.example/filbertturn/internal/node/quotas"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/peer/question"
+	"filbertturn.example/filbertturn/internal/request/allowance"
+	"filbertturn.example/filbertturn/internal/request/dialect"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/route/ranking"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 5 * time.Minute // Callers close idle connections sooner.
+	maxHeaderBytes    = 64 << 10
+
+	// noticeTime is the time for which a node that stops goes on to take new
+	// connections, until callers have noticed that it is not ready.
+	noticeTime = 2500 * time.Millisecond
+
+	// exitMargin is what is left of the grace when the node exits by itself.
+	exitMargin   = 400 * time.Millisecond
+	pollInterval = 50 * time.Millisecond
+)
+
+// Settings of a node.
+type Settings struct {
+	Name          string
+	DataCentre    string
+	Service       string         // Service of the backend server beside the node.
+	BackendServer netip.AddrPort // Its address.
+	Callers       netip.AddrPort // Address for clients and the backend server.
+	Peers         netip.AddrPort // Address for other nodes.
+	Ready         netip.AddrPort // Address for readiness questions.
+	Heartbeats    netip.AddrPort // Address for the backend server's heartbeats.
+	Metrics       netip.AddrPort
+	Grace         time.Duration // Time from SIGTERM to SIGKILL.
+	RepeatRatio   float64       // Repeats for each request of a service, over all nodes.
+	RepeatReserve float64       // Repeats of a service in a window beyond the ratio.
+	RepeatWindow  time.Duration
+}
+
+// Ports is what an adapter fills in.
+type Ports struct {
+	Depot             depot.Depot
+	ConfigurationKey  string
+	Decode            func(value []byte) (uint64, set.Set, error)
+	Dialect           dialect.Dialect
+	ReadyHandler      func(ready func() bool) http.Handler
+	HeartbeatsHandler func(b BackendServer) http.Handler
+}
+
+// Sidecar is one node. Use New to make one.
+type Sidecar struct {
+	settings  Settings
+	ports     Ports
+	log       zerolog.Logger
+	timers    timer.Service
+	mesh      *link.Mesh
+	follower  *follower.Follower
+	discovery *discovery.Discovery
+	host      *host.Host
+	dispatch  *dispatch.Dispatch
+	quotas    *quotas.Quotas
+	metrics   *metrics.Metrics
+	closing   atomic.Bool
+	servers   []*http.Server // The callers' comes first.
+	failed    chan error
+}
+
+// New assembles a node. It opens no connection yet.
+func New(s Settings, p Ports, log zerolog.Logger, now time.Time) *Sidecar {
+	c := &Sidecar{settings: s, ports: p, log: log, metrics: metrics.New(), failed: make(chan error, 1)}
+	c.mesh = link.New(nil, nil, c)
+	c.follower = &follower.Follower{Depot: p.Depot, Key: p.ConfigurationKey, Decode: p.Decode, Log: log}
+	c.host = &host.Host{Address: s.BackendServer, Dialect: p.Dialect, HealthPath: c.healthPath, Log: log}
+	c.discovery = &discovery.Discovery{
+		Self: discovery.Record{
+			Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre, Service: s.Service, Incarnation: uint64(now.UnixNano()),
+		},
+		Depot: p.Depot, Mesh: c.mesh, Load: c.host.Load, Log: log, Heard: c.heard, Lost: c.lost,
+	}
+	c.dispatch = &dispatch.Dispatch{
+		Self: s.Peers, DataCentre: s.DataCentre, Host: c.host, Courier: &courier.Courier{Mesh: c.mesh}, Terms: c.terms, Log: log,
+	}
+	c.quotas = &quotas.Quotas{Self: s.Peers, Mesh: c.mesh, Nodes: c.discovery.Addresses, Snapshot: c.follower.Snapshot, Log: log}
+	c.host.Changed = func() { c.discovery.Announce(context.Background()) }
+	c.dispatch.Know(now, ranking.Node{Address: s.Peers, DataCentre: s.DataCentre, Service: s.Service}, c.host.Load(now))
+	return c
+}
+
+func (c *Sidecar) heard(now time.Time, p discovery.Presence) {
+	c.dispatch.Know(now, ranking.Node{Address: p.Address, DataCentre: p.DataCentre, Service: p.Service}, p.Load)
+}
+
+func (c *Sidecar) lost(a netip.AddrPort) {
+	c.dispatch.Forget(a)
+}
+
+func (c *Sidecar) terms() allowance.Terms {
+	return allowance.Terms{
+		Ratio: c.settings.RepeatRatio, Reserve: c.settings.RepeatReserve,
+		Window: c.settings.RepeatWindow, Nodes: c.discovery.Nodes(),
+	}
+}
+
+func (c *Sidecar) healthPath(service string) string {
+	if s := c.follower.Snapshot(); s != nil {
+		for _, p := range s.Set().Pools {
+			if p.Service == service && p.Probe.Path != "" {
+				return p.Probe.Path
+			}
+		}
+	}
+	return set.DefaultProbePath
+}
+
+// Ready reports whether callers may send requests.
+func (c *Sidecar) Ready() bool {
+	return c.follower.Snapshot() != nil && c.discovery.Joined() && !c.closing.Load()
+}
+
+// Answer implements link.Handler.
+func (c *Sidecar) Answer(_ context.Context, kind uint32, payload []byte) ([]byte, error) {
+	switch kind {
+	case question.Presence:
+		return c.discovery.Answer(time.Now(), payload)
+	case question.Tokens:
+		return c.quotas.Answer(time.Now(), payload)
+	default:
+		return nil, fmt.Errorf("unknown question %d", kind)
+	}
+}
+
+// Serve implements link.Handler.
+func (c *Sidecar) Serve(ctx context.Context, head *peerpb.RequestHead, stream *link.Stream) {
+	courier.Accept(ctx, c.host, head, stream)
+}
+
+// Done implements ingress.Recorder.
+func (c *Sidecar) Done(route string, status int, f *failure.Failure, took time.Duration) {
+	c.metrics.Done(nil, status, f, took)
+	if route != "" {
+		c.metrics.Count(fmt.Sprintf("requests_total{route=%q}", route))
+	}
+}
+
+// Run serves until a signal arrives, and then stops gracefully. A second signal
+// ends it at once.
+func (c *Sidecar) Run(stop <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	started := time.Now()
+	if err := c.listen(); err != nil {
+		return err
+	}
+	go c.follower.Run(ctx)
+	c.discovery.Start(ctx, &c.timers)
+	c.log.Info().Str("Name", c.settings.Name).Str("DataCentre", c.settings.DataCentre).Str("Service", c.settings.Service).
+		Stringer("Callers", c.settings.Callers).Stringer("Peers", c.settings.Peers).Dur("Took", time.Since(started)).Msg("node started")
+	var err error
+	select {
+	case s := <-stop:
+		c.log.Info().Str("Signal", s.String()).Msg("node stops")
+		c.shutDown(ctx, stop)
+	case err = <-c.failed:
+	}
+	cancel()
+	c.timers.Stop()
+	c.mesh.Close()
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	c.log.Info().Err(err).Msg("node stopped")
+	return err
+}
+
+func (c *Sidecar) listen() error {
+	callers := &ingress.Ingress{
+		Service: c.settings.Service, Dialect: c.ports.Dialect, Snapshot: c.follower.Snapshot, Limiter: c.quotas,
+		Forwarder: c.dispatch, Recorder: c, Closing: c.closing.Load, Log: c.log,
+	}
+	c.gauges()
+	for _, l := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{c.settings.Callers, callers},
+		{c.settings.Ready, c.ports.ReadyHandler(c.Ready)},
+		{c.settings.Heartbeats, c.ports.HeartbeatsHandler(c.host)},
+		{c.settings.Metrics, c.metrics},
+	} {
+		if err := c.serveHTTP(l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	l, err := net.Listen("tcp", c.settings.Peers.String())
+	if err != nil {
+		return fmt.Errorf("peers' address: %w", err)
+	}
+	go c.mesh.Listen(l)
+	return nil
+}
+
+func (c *Sidecar) serveHTTP(a netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", a, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	c.servers = append(c.servers, s)
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			select {
+			case c.failed <- err:
+			default:
+			}
+		}
+	}()
+	return nil
+}
+
+func (c *Sidecar) gauges() {
+	c.metrics.Gauge("nodes", func() int64 { return int64(c.discovery.Nodes()) })
+	c.metrics.Gauge("config_version", func() int64 {
+		if s := c.follower.Snapshot(); s != nil {
+			return int64(s.Revision())
+		}
+		return 0
+	})
+	c.metrics.Gauge("config_age_milliseconds", func() int64 { return c.follower.Age(time.Now()).Milliseconds() })
+	c.metrics.Gauge("requests_at_backend_server", func() int64 { return int64(c.host.Active()) })
+	c.metrics.Gauge("peer_sessions", func() int64 { return int64(c.mesh.Sessions()) })
+	c.metrics.Gauge("peer_sent_bytes", func() int64 { sent, _ := c.mesh.Traffic(); return sent })
+	c.metrics.Gauge("peer_received_bytes", func() int64 { _, received := c.mesh.Traffic(); return received })
+}
+
+// shutDown lets callers and other nodes go elsewhere, waits for the requests
+// under way, and returns before the grace is over.
+func (c *Sidecar) shutDown(ctx context.Context, stop <-chan os.Signal) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Grace-exitMargin)
+	defer cancel()
+	go func() {
+		select {
+		case <-stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	c.closing.Store(true)
+	c.host.Close(time.Now())
+	c.discovery.Leave(ctx)
+	sleep(ctx, noticeTime)
+	for c.host.Active() > 0 && ctx.Err() == nil {
+		sleep(ctx, pollInterval)
+	}
+	_ = c.servers[0].Shutdown(ctx)
+	c.log.Info().Bool("Cut", ctx.Err() != nil).Msg("requests under way have ended")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/peer/courier/offer.go
@@ -0,0 +1,262 @@
+package courier
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+// Bounds of an offer.
+const (
+	// reactionTime is the time in which a node must react to an offer. It is
+	// many times the way there and back, and leaves room for a node that waits
+	// for its processor.
+	reactionTime = 150 * time.Millisecond
+
+	// commitTime is the time for which a slot is kept for the body of an offer
+	// that was accepted.
+	commitTime = 300 * time.Millisecond
+)
+
+// Decision is what an owner does with an offer.
+type Decision uint32
+
+// The decisions.
+const (
+	Refused Decision = iota
+	Waiting
+	Accepted
+)
+
+// Verdict is an owner's word on an offer.
+type Verdict struct {
+	Decision   Decision
+	RetryAfter time.Duration
+	Load       booking.Load
+}
+
+// Reply is the end of an offer: an answer, or an error of type
+// *failure.Failure.
+type Reply struct {
+	Answer *exchange.Answer
+	Err    error
+	Sent   bool          // The backend server may have received a part of the request.
+	Load   *booking.Load // What the owner said last; nil if it said nothing.
+}
+
+// Offer asks the owner at an address to run o. The body is read only once the
+// owner has a slot for it. Until then an offer that comes to nothing has
+// certainly not run.
+func (c *Courier) Offer(ctx context.Context, to netip.AddrPort, o *order.Order, body func() (io.Reader, error)) Reply {
+	dial, stop := context.WithTimeout(ctx, reactionTime)
+	stream, err := c.Mesh.Open(dial, to)
+	stop()
+	if err != nil {
+		return Reply{Err: notSent(ctx, err)}
+	}
+	f := &offer{stream: stream, ctx: ctx, stop: context.AfterFunc(ctx, func() { _ = stream.Close() })}
+	_ = stream.SetDeadline(o.Deadline.Add(linger))
+	reaction := time.AfterFunc(reactionTime, f.expire)
+	defer reaction.Stop()
+	if err := stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Request{Request: orderHead(o)}}); err != nil {
+		f.end()
+		return Reply{Err: notSent(ctx, err)}
+	}
+	v, err := f.await(reaction)
+	if err != nil {
+		f.end()
+		return Reply{Err: err, Load: v}
+	}
+	return f.commit(body, v)
+}
+
+// notSent is the failure of an offer that no backend server has seen.
+func notSent(ctx context.Context, err error) *failure.Failure {
+	if ctx.Err() != nil {
+		return failure.FromContext(ctx, false)
+	}
+	return failure.New(kind.UnreachablePeer, "", err)
+}
+
+// offer is one offer under way.
+type offer struct {
+	stream *link.Stream
+	ctx    context.Context
+	stop   func() bool
+}
+
+func (f *offer) end() {
+	f.stop()
+	_ = f.stream.Close()
+}
+
+// expire gives up an offer that the owner did not react to.
+func (f *offer) expire() {
+	_ = f.stream.Close()
+}
+
+// await reads verdicts until the owner has a slot or refuses.
+func (f *offer) await(reaction *time.Timer) (*booking.Load, error) {
+	var load *booking.Load
+	for {
+		frame, err := f.stream.Read()
+		if err != nil {
+			return load, notSent(f.ctx, err)
+		}
+		if !reaction.Stop() && load == nil {
+			return nil, notSent(f.ctx, errors.New("the owner reacted too late"))
+		}
+		switch body := frame.GetBody().(type) {
+		case *peerpb.Frame_Verdict:
+			l := fromLoad(body.Verdict.GetLoad())
+			load = &l
+			switch Decision(body.Verdict.GetDecision()) {
+			case Accepted:
+				return load, nil
+			case Waiting:
+			case Refused:
+				r := failure.New(kind.NoCapacity, "", nil)
+				r.RetryAfter = time.Duration(body.Verdict.GetRetryAfterNanos())
+				return load, r
+			}
+		case *peerpb.Frame_Failure:
+			return load, fromFrame(body.Failure)
+		default:
+			return load, notSent(f.ctx, errors.New("unexpected frame"))
+		}
+	}
+}
+
+// commit sends the body, or the word that there is none, and reads the answer.
+func (f *offer) commit(body func() (io.Reader, error), load *booking.Load) Reply {
+	reader, err := body()
+	if err != nil {
+		f.end()
+		return Reply{Err: err, Load: load}
+	}
+	sent := make(chan error, 1)
+	if reader == nil {
+		sent <- f.writeEnd()
+	} else {
+		go func() {
+			err := writeBody(f.stream, reader)
+			if err == nil {
+				err = f.writeEnd()
+			}
+			var source *sourceError
+			if errors.As(err, &source) {
+				// The owner must see that the request is not whole.
+				_ = f.stream.Close()
+			}
+			sent <- err
+		}()
+	}
+	answer, load, err := f.receive(load)
+	if err != nil {
+		var source *sourceError
+		select {
+		case e := <-sent:
+			if errors.As(e, &source) {
+				err = failure.New(kind.BrokenRequestBody, "", e)
+			}
+		default:
+		}
+		f.end()
+		return Reply{Err: err, Sent: true, Load: load}
+	}
+	return Reply{Answer: answer, Sent: true, Load: load}
+}
+
+func (f *offer) writeEnd() error {
+	return f.stream.Write(&peerpb.Frame{Body: &peerpb.Frame_End{End: &peerpb.End{}}})
+}
+
+func (f *offer) receive(load *booking.Load) (*exchange.Answer, *booking.Load, error) {
+	frame, err := f.stream.Read()
+	if err != nil {
+		return nil, load, f.lost(err)
+	}
+	switch body := frame.GetBody().(type) {
+	case *peerpb.Frame_Answer:
+		if l := body.Answer.GetLoad(); l != nil {
+			now := fromLoad(l)
+			load = &now
+		}
+		return f.answer(body.Answer), load, nil
+	case *peerpb.Frame_Failure:
+		if l := body.Failure.GetLoad(); l != nil {
+			now := fromLoad(l)
+			load = &now
+		}
+		return nil, load, fromFrame(body.Failure)
+	default:
+		return nil, load, f.lost(errors.New("unexpected frame"))
+	}
+}
+
+func (f *offer) lost(err error) *failure.Failure {
+	if f.ctx.Err() != nil {
+		return failure.FromContext(f.ctx, true)
+	}
+	return failure.New(kind.LostPeer, "", err)
+}
+
+func (f *offer) answer(head *peerpb.AnswerHead) *exchange.Answer {
+	body := &bodyReader{stream: f.stream, classify: f.lost, refused: fromFrame, finish: f.end}
+	return &exchange.Answer{
+		Status:        int(head.GetStatus()),
+		Header:        headers(head.GetHeaders()),
+		Body:          body,
+		ContentLength: head.GetContentLength(),
+		BackendServer: address(head.GetBackendServer()),
+		Trailer:       func() http.Header { return body.trailer },
+	}
+}
+
+func orderHead(o *order.Order) *peerpb.RequestHead {
+	return &peerpb.RequestHead{
+		Version:        version,
+		Method:         o.Method,
+		Target:         o.Target,
+		Host:           o.Host,
+		Headers:        fields(o.Header),
+		ContentLength:  o.ContentLength,
+		Customer:       o.Customer,
+		Route:          o.Route,
+		TimeoutNanos:   int64(time.Until(o.Deadline)),
+		RequestId:      o.ID,
+		Service:        o.Service,
+		CallerService:  o.CallerService,
+		Level:          uint32(o.Level),
+		Reserve:        true,
+		Priority:       int32(o.Priority),
+		Nested:         o.Nested,
+		Idempotent:     o.Idempotent,
+		ObjectiveNanos: int64(o.Objective),
+	}
+}
+
+func toLoad(l booking.Load) *peerpb.Load {
+	return &peerpb.Load{
+		Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
+		Failing: float32(l.Failing), Serving: l.Serving, HoldNanos: int64(l.Hold),
+	}
+}
+
+func fromLoad(l *peerpb.Load) booking.Load {
+	return booking.Load{
+		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()),
+		Failing: float64(l.GetFailing()), Serving: l.GetServing(), Hold: time.Duration(l.GetHoldNanos()),
+	}
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -31,6 +31,9 @@
 	silenceToReopen  = 2 * time.Second // and the time without any reply.
 )
 
+// keepAlive finds connections that went silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 // Handler serves what peers send.
 type Handler interface {
 	// Answer replies to a question. The peer is the address of the connection.
@@ -57,7 +60,7 @@
 }
 
 // New returns a mesh that authenticates itself and its peers by the given
-// configurations.
+// configurations. Without them its sessions are plain.
 func New(client, server *tls.Config, handler Handler) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
@@ -96,10 +99,7 @@
 }
 
 func (m *Mesh) accept(conn net.Conn) {
-	secure := tls.Server(&countingConn{Conn: conn, mesh: m}, m.server)
-	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
-	err := secure.HandshakeContext(ctx)
-	cancel()
+	secure, err := m.secureServer(conn)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -124,6 +124,18 @@
 	}
 }
 
+// secureServer returns the connection as it is if the mesh has no certificates.
+func (m *Mesh) secureServer(conn net.Conn) (net.Conn, error) {
+	counted := &countingConn{Conn: conn, mesh: m}
+	if m.server == nil {
+		return counted, nil
+	}
+	secure := tls.Server(counted, m.server)
+	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
+	defer cancel()
+	return secure, secure.HandshakeContext(ctx)
+}
+
 func (m *Mesh) track(s *yamux.Session) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -256,11 +268,14 @@
 }
 
 func (m *Mesh) connect(ctx context.Context, to netip.AddrPort) (*yamux.Session, error) {
-	var d net.Dialer
+	d := net.Dialer{KeepAliveConfig: keepAlive}
 	conn, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
 	}
+	if m.client == nil {
+		return yamux.Client(&countingConn{Conn: conn, mesh: m}, yamuxConfig())
+	}
 	config := m.client.Clone()
 	config.ServerName = to.Addr().String()
 	secure := tls.Client(&countingConn{Conn: conn, mesh: m}, config)
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -14,4 +14,6 @@
 	Report                   // Evidence on backend servers; answered with a ruling.
 	Announce                 // A backend server's heartbeat, for its owner.
 	Summary                  // An owner's capacity.
+	Presence                 // A node's presence and load; answered with the peer's.
+	Tokens                   // Tokens of a customer's limit, one request at a time.
 )
--- /dev/null
+++ b/internal/request/allowance/allowance_test.go
@@ -0,0 +1,48 @@
+package allowance_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertturn.example/filbertturn/internal/request/allowance"
+)
+
+// TestAllowance_Repeat plays nodes that repeat whenever they may, and checks
+// that no window holds more repeats than the bounds of the service.
+func TestAllowance_Repeat(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := allowance.Terms{Ratio: 0.2, Reserve: 60, Window: 10 * time.Second, Nodes: rapid.IntRange(1, 40).Draw(t, "nodes")}
+		nodes := make([]allowance.Allowance, terms.Nodes)
+		start := time.Unix(0, 0)
+		var requests, repeats []time.Time
+		now := start
+		for range 2000 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * time.Millisecond)
+			n := &nodes[rapid.IntRange(0, terms.Nodes-1).Draw(t, "node")]
+			n.Request(now, terms)
+			requests = append(requests, now)
+			if n.Repeat(now, terms) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			got := within(repeats, end.Add(-terms.Window), end)
+			want := terms.Ratio*float64(within(requests, end.Add(-terms.Window), end)) + terms.Reserve
+			if float64(got) > want {
+				t.Fatalf("got %d repeats in the window that ends after %s, want at most %g", got, end.Sub(start), want)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/request/kind/kind.go
+++ b/internal/request/kind/kind.go
@@ -36,6 +36,7 @@
 	CancelledByCaller
 	BrokenRequestBody
 	LapsedAuthority
+	OtherIncarnation
 	count
 )
 
@@ -84,6 +85,7 @@
 	WithdrawnKey:             {"WithdrawnKey", http.StatusUnauthorized, Unknown, false, "The key was withdrawn while the request was under way."},
 	CancelledByCaller:        {"CancelledByCaller", http.StatusRequestTimeout, Unknown, false, "The caller closed its connection."},
 	BrokenRequestBody:        {"BrokenRequestBody", http.StatusBadRequest, Unknown, false, "The body of the request ended early."},
+	OtherIncarnation:         {"OtherIncarnation", http.StatusServiceUnavailable, NotRun, true, "Another incarnation has the backend server's address."},
 	LapsedAuthority:          {"LapsedAuthority", http.StatusServiceUnavailable, Unknown, false, "The node ceased to be current while the request was under way."},
 }
 
--- /dev/null
+++ b/internal/route/ranking/ranking.go
@@ -0,0 +1,202 @@
+// Package ranking decides which node a request is offered to. It goes by what
+// the nodes said of their backend servers, by how the ways to them did, and by
+// how far they are.
+package ranking
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+)
+
+const (
+	// memory is the time after which a load that was heard says nothing.
+	memory = 1500 * time.Millisecond
+
+	// unknownBusy is the busy part of its slots that a backend server of unknown
+	// load is taken to have.
+	unknownBusy = 0.4
+
+	// farCost is what another data centre costs, in busy parts of slots.
+	farCost = 0.35
+
+	// farBodyCost is the same for a request with a large body.
+	farBodyCost = 1.5
+
+	// failingCost weighs the likelihood of failure.
+	failingCost = 3.0
+
+	// shuffle spreads the choices of entries that know the same.
+	shuffle = 0.15
+
+	// firstPause and maxPause bound the time for which a way that failed is
+	// avoided. The pause doubles with each failure.
+	firstPause = 500 * time.Millisecond
+	maxPause   = 8 * time.Second
+
+	// askAgain is the time after which a node that served nothing is asked again.
+	askAgain = 2 * time.Second
+)
+
+// Node is one node as an entry sees it.
+type Node struct {
+	Address    netip.AddrPort
+	DataCentre string
+	Service    string
+}
+
+// Choice says what a node is wanted for.
+type Choice struct {
+	Service    string
+	DataCentre string // Where the request is.
+	Large      bool   // It has a large body.
+	Unsure     bool   // Ways that failed lately may be tried.
+	Exclude    []netip.AddrPort
+	Random     float64 // From 0 to 1.
+}
+
+// candidate is what is known of a node.
+type candidate struct {
+	node     Node
+	load     booking.Load
+	heard    time.Time
+	inFlight int
+	misses   int
+	avoided  time.Time // Until when its way is avoided.
+}
+
+// Ranking holds the nodes that an entry may send to. Its zero value is empty. It
+// is not safe for use by several goroutines at once.
+type Ranking struct {
+	nodes map[netip.AddrPort]*candidate
+	order []netip.AddrPort // Sorted, so that equal costs have one order.
+}
+
+// Know adds or updates a node.
+func (r *Ranking) Know(n Node) {
+	if c := r.nodes[n.Address]; c != nil {
+		c.node = n
+		return
+	}
+	if r.nodes == nil {
+		r.nodes = make(map[netip.AddrPort]*candidate)
+	}
+	r.nodes[n.Address] = &candidate{node: n}
+	r.order = append(r.order, n.Address)
+	slices.SortFunc(r.order, netip.AddrPort.Compare)
+}
+
+// Forget removes a node.
+func (r *Ranking) Forget(a netip.AddrPort) {
+	delete(r.nodes, a)
+	r.order = slices.DeleteFunc(r.order, func(b netip.AddrPort) bool { return a == b })
+}
+
+// Hear takes in what a node said of its backend server. It also proves that the
+// way to it works.
+func (r *Ranking) Hear(now time.Time, a netip.AddrPort, l booking.Load) {
+	if c := r.nodes[a]; c != nil {
+		c.load, c.heard = l, now
+		c.misses, c.avoided = 0, time.Time{}
+	}
+}
+
+// Miss notes that a node did not react in time.
+func (r *Ranking) Miss(now time.Time, a netip.AddrPort) {
+	c := r.nodes[a]
+	if c == nil {
+		return
+	}
+	pause := min(firstPause<<min(c.misses, 10), maxPause)
+	c.misses++
+	c.avoided = now.Add(pause)
+}
+
+// Fail notes that a request which the node took came to nothing on its way.
+func (r *Ranking) Fail(now time.Time, a netip.AddrPort) {
+	if c := r.nodes[a]; c != nil {
+		c.load.Failing += (1 - c.load.Failing) * 0.5
+		c.heard = now
+	}
+}
+
+// Sent and Done count the requests of this entry at a node.
+func (r *Ranking) Sent(a netip.AddrPort) {
+	if c := r.nodes[a]; c != nil {
+		c.inFlight++
+	}
+}
+
+// Done ends what Sent began.
+func (r *Ranking) Done(a netip.AddrPort) {
+	if c := r.nodes[a]; c != nil && c.inFlight > 0 {
+		c.inFlight--
+	}
+}
+
+// Pick returns the node with the least cost.
+func (r *Ranking) Pick(now time.Time, w Choice) (netip.AddrPort, bool) {
+	var best netip.AddrPort
+	least := math.Inf(1)
+	for i, a := range r.order {
+		c := r.nodes[a]
+		if c.node.Service != w.Service || slices.Contains(w.Exclude, a) || !w.Unsure && now.Before(c.avoided) {
+			continue
+		}
+		if !c.load.Serving && !c.heard.IsZero() && now.Sub(c.heard) < askAgain {
+			continue
+		}
+		cost := c.cost(now, w) + shuffle*math.Mod(w.Random*float64(i+1)*math.Phi, 1)
+		if cost < least {
+			best, least = a, cost
+		}
+	}
+	return best, !math.IsInf(least, 1)
+}
+
+func (c *candidate) cost(now time.Time, w Choice) float64 {
+	cost := max(c.busy(now), float64(c.inFlight)/float64(max(c.load.Slots, 1)))
+	cost += failingCost * c.load.Failing * c.fresh(now)
+	if c.node.DataCentre != w.DataCentre {
+		if w.Large {
+			cost += farBodyCost
+		} else {
+			cost += farCost
+		}
+	}
+	if now.Before(c.avoided) {
+		cost += float64(c.misses)
+	}
+	if !c.load.Serving {
+		cost++
+	}
+	return cost
+}
+
+// fresh tells how much of what was heard still counts, from 1 to 0.
+func (c *candidate) fresh(now time.Time) float64 {
+	return max(0, 1-float64(now.Sub(c.heard))/float64(memory))
+}
+
+func (c *candidate) busy(now time.Time) float64 {
+	if c.load.Slots == 0 {
+		return unknownBusy
+	}
+	heard := float64(c.load.Running+c.load.Waiting) / float64(c.load.Slots)
+	f := c.fresh(now)
+	return f*heard + (1-f)*unknownBusy
+}
+
+// Nodes returns all nodes, sorted by address.
+func (r *Ranking) Nodes() []Node {
+	list := make([]Node, 0, len(r.nodes))
+	for _, c := range r.nodes {
+		list = append(list, c.node)
+	}
+	slices.SortFunc(list, func(a, b Node) int { return cmp.Or(a.Address.Compare(b.Address), cmp.Compare(a.Service, b.Service)) })
+	return list
+}
