Learn of configurations by proofs of freshness instead of watches

Ruled out: a cut of that node (its other calls were answered) and a late event (the version never came).

Replies between nodes carry the age of the proof, counted from the question, so that one answer of the store serves many nodes; a newer version is fetched from the peer.

--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/request/allowance"
 	"filbertturn.example/filbertturn/internal/request/failure"
@@ -33,6 +34,9 @@
 	Terms      func() allowance.Terms
 	Log        zerolog.Logger
 
+	// Heard is called with what another node told of its configuration.
+	Heard func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
+
 	mu         sync.Mutex // Guards the fields below.
 	ranking    ranking.Ranking
 	allowances map[string]*allowance.Allowance // By service.
@@ -98,9 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if self := d.Host.Load(now); true {
-		d.ranking.Hear(now, d.Self, self)
-	}
+	d.ranking.Hear(now, d.Self, d.Host.Load(now))
 	to, ok := d.ranking.Pick(now, ranking.Choice{
 		Service: o.Service, DataCentre: d.DataCentre, Large: isLarge(o), Unsure: unsure, Exclude: exclude, Random: rand.Float64(),
 	})
@@ -143,7 +145,11 @@
 // send makes one offer to a node, which may be this one.
 func (d *Dispatch) send(ctx context.Context, to netip.AddrPort, o *order.Order, body func() (io.Reader, error)) courier.Reply {
 	if to != d.Self {
-		return d.Courier.Offer(ctx, to, o, body)
+		r := d.Courier.Offer(ctx, to, o, body)
+		if r.Stamp.Version > 0 {
+			d.Heard(to, r.Asked, r.Stamp)
+		}
+		return r
 	}
 	sent := false
 	answer, err := d.Host.Run(ctx, o, func(courier.Verdict) {}, func() (io.Reader, error) {
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -1,42 +1,54 @@
 // Package follower keeps the configuration that a node runs in step with the
-// depot. It never goes back to an older version.
+// depot, through its peers where they know more. It never goes back to an older
+// version.
 package follower
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
+	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/node/depot"
+	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/peer/question"
 )
 
 const (
-	// watchWait is the longest that a watch waits. Each waiting watch is a call.
-	watchWait = 10 * time.Second
+	// answerTime is the time in which the depot or a peer must answer. The depot
+	// takes milliseconds, and a silent connection must be found soon enough for
+	// another question.
+	answerTime = 500 * time.Millisecond
 
-	// answerTime is the time in which the depot must answer, beyond the wait.
-	answerTime = 1500 * time.Millisecond
-
-	// retryPause is the pause after a failed call, and jitter is added to it.
-	retryPause = 200 * time.Millisecond
-	jitter     = 200 * time.Millisecond
+	// jitter spreads the questions of nodes whose proofs have the same age.
+	jitter = 200 * time.Millisecond
 )
 
 // Follower follows one key of the depot.
 type Follower struct {
 	Depot  depot.Depot
+	Mesh   *link.Mesh
 	Key    string                                                    // Key of the configuration.
 	Decode func(value []byte) (version uint64, s set.Set, err error) // Reads its value.
 	Log    zerolog.Logger
 
 	snapshot atomic.Pointer[snapshot.Snapshot]
-	read     atomic.Int64 // Time of the last answer of the depot, in nanoseconds since 1970.
+	fetching atomic.Bool
+
+	mu       sync.Mutex // Guards the fields below.
+	proof    freshness.Proof
+	value    []byte // The configuration as the operator wrote it.
+	revision int64  // Revision of the key that was read last.
 }
 
 // Snapshot returns the configuration, or nil before the first was read.
@@ -44,93 +56,144 @@
 	return f.snapshot.Load()
 }
 
-// Age returns the time since the depot last answered.
-func (f *Follower) Age(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.read.Load()))
+// Stamp returns what to tell other nodes.
+func (f *Follower) Stamp(now time.Time) freshness.Stamp {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proof.Stamp(now)
 }
 
-// Run follows the key until ctx ends.
+// Run asks the depot whenever the proof is too old, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	reachable := true
 	for ctx.Err() == nil {
-		err := f.follow(ctx)
+		f.mu.Lock()
+		now := time.Now()
+		_, ask := f.proof.Tick(now).(freshness.Ask)
+		wait := f.proof.Next().Sub(now)
+		f.mu.Unlock()
+		if !ask {
+			sleep(ctx, wait+rand.N(jitter))
+			continue
+		}
+		err := f.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if reachable && !errors.Is(err, depot.ErrCompacted) {
-			f.Log.Warn().Err(err).Msg("configuration store lost")
-			reachable = false
-		}
-		pause(ctx, retryPause+rand.N(jitter))
-		if f.readOnce(ctx) == nil && !reachable {
-			f.Log.Info().Msg("configuration store regained")
-			reachable = true
+		if (err == nil) != reachable {
+			reachable = err == nil
+			f.logReach(err)
 		}
 	}
 }
 
-// follow reads the key and then its changes, until a call fails.
-func (f *Follower) follow(ctx context.Context) error {
-	revision, err := f.get(ctx)
-	for err == nil {
-		revision, err = f.watch(ctx, revision)
+func (f *Follower) logReach(err error) {
+	if err == nil {
+		f.Log.Info().Msg("configuration store regained")
+		return
 	}
-	return err
-}
-
-func (f *Follower) readOnce(ctx context.Context) error {
-	_, err := f.get(ctx)
-	return err
+	f.Log.Warn().Err(err).Dur("ProofAge", f.Stamp(time.Now()).Age).Msg("configuration store lost")
 }
 
-func (f *Follower) get(ctx context.Context) (int64, error) {
+// read asks the depot for the newest configuration.
+func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
+	asked := time.Now()
 	page, err := f.Depot.Get(ctx, f.Key)
-	if err != nil {
-		return 0, err
+	f.mu.Lock()
+	f.proof.Asked(err)
+	same := len(page.Items) == 1 && page.Items[0].Revision == f.revision
+	if same {
+		f.proof.Confirm(f.proof.Version(), asked)
+	}
+	f.mu.Unlock()
+	if err != nil || same || len(page.Items) == 0 {
+		return err
 	}
-	f.take(page)
-	return page.Revision, nil
+	item := page.Items[0]
+	if err := f.take(item.Value, asked, "store"); err != nil {
+		f.Log.Error().Err(err).Int64("Revision", item.Revision).Msg("configuration cannot be read; the last one stays in force")
+		return nil
+	}
+	f.mu.Lock()
+	f.revision = item.Revision
+	f.mu.Unlock()
+	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTime)
-	defer cancel()
-	page, err := f.Depot.Watch(ctx, f.Key, after, watchWait)
-	if err != nil {
-		return 0, err
+// Hear takes in the stamp of a peer's reply to a question that was asked at a
+// moment, and fetches what is newer.
+func (f *Follower) Hear(from netip.AddrPort, asked time.Time, s freshness.Stamp) {
+	f.mu.Lock()
+	effect := f.proof.Hear(asked, s)
+	f.mu.Unlock()
+	if _, ok := effect.(freshness.Fetch); ok && f.fetching.CompareAndSwap(false, true) {
+		go f.fetch(from)
 	}
-	f.take(page)
-	return max(page.Revision, after), nil
 }
 
-func (f *Follower) take(page depot.Page) {
-	f.read.Store(time.Now().UnixNano())
-	for _, item := range page.Items {
-		if item.Key != f.Key || item.Deleted {
-			continue
-		}
-		version, s, err := f.Decode(item.Value)
-		if err != nil {
-			f.Log.Error().Err(err).Int64("Revision", item.Revision).Msg("configuration cannot be read; the last one stays in force")
-			continue
-		}
-		f.run(version, s, item.Revision)
+// fetch asks a peer for its configuration, and the depot if that fails.
+func (f *Follower) fetch(from netip.AddrPort) {
+	defer f.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	asked := time.Now()
+	reply, err := f.Mesh.Ask(ctx, from, question.Configuration, nil)
+	var m peerpb.Configuration
+	if err == nil {
+		err = proto.Unmarshal(reply, &m)
+	}
+	if err == nil {
+		age := time.Duration(m.GetFreshness().GetAgeNanos())
+		err = f.take(m.GetValue(), asked.Add(-min(age, time.Hour)), from.String())
+	}
+	if err == nil {
+		return
+	}
+	f.Log.Info().Err(err).Stringer("From", from).Msg("configuration of a peer cannot be had; the store is asked")
+	if err := f.read(context.Background()); err != nil {
+		f.Log.Warn().Err(err).Msg("newer configuration is known and cannot be read yet")
 	}
 }
 
-func (f *Follower) run(version uint64, s set.Set, revision int64) {
-	old := f.snapshot.Load()
-	if old != nil && version <= old.Revision() {
-		return
+// Answer returns the configuration for a peer.
+func (f *Follower) Answer(now time.Time) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.proof.Stamp(now)
+	return proto.Marshal(&peerpb.Configuration{
+		Value: f.value, Freshness: &peerpb.Freshness{Version: s.Version, AgeNanos: int64(s.Age)},
+	})
+}
+
+// take runs a configuration unless it is older than the present one. The value
+// was the newest at a moment.
+func (f *Follower) take(value []byte, at time.Time, source string) error {
+	if len(value) == 0 {
+		return fmt.Errorf("configuration from %s is empty", source)
+	}
+	version, s, err := f.Decode(value)
+	if err != nil {
+		return err
+	}
+	compiled := snapshot.Compile(s, version)
+	f.mu.Lock()
+	newer := version > f.proof.Version() || f.snapshot.Load() == nil
+	if newer {
+		f.value = value
+		f.snapshot.Store(compiled)
+	}
+	f.proof.Confirm(version, at)
+	f.mu.Unlock()
+	if newer {
+		f.Log.Info().Uint64("Version", version).Str("Source", source).Dur("ProofAge", time.Since(at)).
+			Int("Routes", len(s.Routes)).Int("Customers", len(s.Customers)).Msg("configuration in force")
 	}
-	f.snapshot.Store(snapshot.Compile(s, version))
-	f.Log.Info().Uint64("Version", version).Int64("Revision", revision).Int("Routes", len(s.Routes)).
-		Int("Customers", len(s.Customers)).Msg("configuration in force")
+	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -16,6 +16,7 @@
 	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/tenure"
+	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
@@ -37,6 +38,7 @@
 	Address    netip.AddrPort // Address of the backend server.
 	Dialect    dialect.Dialect
 	HealthPath func(service string) string
+	Stamp      func(now time.Time) freshness.Stamp // What this node tells of its configuration.
 	Log        zerolog.Logger
 
 	// Changed is called after the backend server came into or went out of
@@ -290,12 +292,12 @@
 		case e := <-wait:
 			switch e := e.(type) {
 			case booking.Start:
-				verdict(courier.Verdict{Decision: courier.Accepted, Load: h.Load(time.Now())})
+				verdict(courier.Verdict{Decision: courier.Accepted, Load: h.Load(time.Now()), Stamp: h.Stamp(time.Now())})
 				return nil
 			case booking.Wait:
-				verdict(courier.Verdict{Decision: courier.Waiting, Load: h.Load(time.Now())})
+				verdict(courier.Verdict{Decision: courier.Waiting, Load: h.Load(time.Now()), Stamp: h.Stamp(time.Now())})
 			case booking.Refuse:
-				verdict(courier.Verdict{Decision: courier.Refused, RetryAfter: e.RetryAfter, Load: h.Load(time.Now())})
+				verdict(courier.Verdict{Decision: courier.Refused, RetryAfter: e.RetryAfter, Load: h.Load(time.Now()), Stamp: h.Stamp(time.Now())})
 				h.leave(id, booking.Abandoned)
 				f := failure.New(kind.NoCapacity, "", nil)
 				f.RetryAfter = e.RetryAfter
--- a/internal/node/quotas/quotas.go
+++ b/internal/node/quotas/quotas.go
@@ -13,9 +13,11 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/limit/quota"
+	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
@@ -39,8 +41,12 @@
 	Mesh     *link.Mesh
 	Nodes    func() []netip.AddrPort // All nodes with this one.
 	Snapshot func() *snapshot.Snapshot
+	Stamp    func(now time.Time) freshness.Stamp // What this node tells of its configuration.
 	Log      zerolog.Logger
 
+	// Heard is called with what a home told of its configuration.
+	Heard func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
+
 	shards [shardCount]shard
 	mu     sync.Mutex
 	silent map[netip.AddrPort]time.Time // Until when homes are not asked.
@@ -105,7 +111,7 @@
 		return nil, failure.New(kind.LimitUnavailable, "the home does not know the customer", nil)
 	}
 	wait := q.take(now, m.GetCustomer(), limit)
-	grant := &peerpb.TokenGrant{RetryAfterNanos: int64(wait)}
+	grant := &peerpb.TokenGrant{RetryAfterNanos: int64(wait), Freshness: courier.ToFreshness(q.Stamp(now))}
 	if wait == 0 {
 		grant.Count = 1
 	}
@@ -154,6 +160,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
+	asked := time.Now()
 	reply, err := q.Mesh.Ask(call, home, question.Tokens, payload)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -166,6 +173,7 @@
 		q.Log.Warn().Err(err).Stringer("Home", home).Msg("malformed token grant")
 		return 0, false
 	}
+	q.Heard(home, asked, courier.FromFreshness(m.GetFreshness()))
 	if m.GetCount() > 0 {
 		return 0, true
 	}
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -98,8 +98,8 @@
 func New(s Settings, p Ports, log zerolog.Logger, now time.Time) *Sidecar {
 	c := &Sidecar{settings: s, ports: p, log: log, metrics: metrics.New(), failed: make(chan error, 1)}
 	c.mesh = link.New(nil, nil, c)
-	c.follower = &follower.Follower{Depot: p.Depot, Key: p.ConfigurationKey, Decode: p.Decode, Log: log}
-	c.host = &host.Host{Address: s.BackendServer, Dialect: p.Dialect, HealthPath: c.healthPath, Log: log}
+	c.follower = &follower.Follower{Depot: p.Depot, Mesh: c.mesh, Key: p.ConfigurationKey, Decode: p.Decode, Log: log}
+	c.host = &host.Host{Address: s.BackendServer, Dialect: p.Dialect, HealthPath: c.healthPath, Stamp: c.follower.Stamp, Log: log}
 	c.discovery = &discovery.Discovery{
 		Self: discovery.Record{
 			Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre, Service: s.Service, Incarnation: uint64(now.UnixNano()),
@@ -108,8 +108,12 @@
 	}
 	c.dispatch = &dispatch.Dispatch{
 		Self: s.Peers, DataCentre: s.DataCentre, Host: c.host, Courier: &courier.Courier{Mesh: c.mesh}, Terms: c.terms, Log: log,
+		Heard: c.follower.Hear,
+	}
+	c.quotas = &quotas.Quotas{
+		Self: s.Peers, Mesh: c.mesh, Nodes: c.discovery.Addresses, Snapshot: c.follower.Snapshot, Log: log,
+		Stamp: c.follower.Stamp, Heard: c.follower.Hear,
 	}
-	c.quotas = &quotas.Quotas{Self: s.Peers, Mesh: c.mesh, Nodes: c.discovery.Addresses, Snapshot: c.follower.Snapshot, Log: log}
 	c.host.Changed = func() { c.discovery.Announce(context.Background()) }
 	c.dispatch.Know(now, ranking.Node{Address: s.Peers, DataCentre: s.DataCentre, Service: s.Service}, c.host.Load(now))
 	return c
@@ -153,6 +157,8 @@
 		return c.discovery.Answer(time.Now(), payload)
 	case question.Tokens:
 		return c.quotas.Answer(time.Now(), payload)
+	case question.Configuration:
+		return c.follower.Answer(time.Now())
 	default:
 		return nil, fmt.Errorf("unknown question %d", kind)
 	}
@@ -254,7 +260,7 @@
 		}
 		return 0
 	})
-	c.metrics.Gauge("config_age_milliseconds", func() int64 { return c.follower.Age(time.Now()).Milliseconds() })
+	c.metrics.Gauge("config_age_milliseconds", func() int64 { return c.follower.Stamp(time.Now()).Age.Milliseconds() })
 	c.metrics.Gauge("requests_at_backend_server", func() int64 { return int64(c.host.Active()) })
 	c.metrics.Gauge("peer_sessions", func() int64 { return int64(c.mesh.Sessions()) })
 	c.metrics.Gauge("peer_sent_bytes", func() int64 { sent, _ := c.mesh.Traffic(); return sent })
--- a/internal/peer/courier/accept.go
+++ b/internal/peer/courier/accept.go
@@ -43,6 +43,7 @@
 	answer, err := host.Run(ctx, o, func(v Verdict) {
 		_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Verdict{Verdict: &peerpb.Verdict{
 			Decision: uint32(v.Decision), RetryAfterNanos: int64(v.RetryAfter), Load: toLoad(v.Load),
+			Freshness: ToFreshness(v.Stamp),
 		}}})
 	}, func() (io.Reader, error) { return in.wait(ctx) })
 	if err != nil {
--- a/internal/peer/courier/offer.go
+++ b/internal/peer/courier/offer.go
@@ -10,6 +10,7 @@
 
 	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/request/failure"
@@ -44,6 +45,7 @@
 	Decision   Decision
 	RetryAfter time.Duration
 	Load       booking.Load
+	Stamp      freshness.Stamp // What the owner runs.
 }
 
 // Reply is the end of an offer: an answer, or an error of type
@@ -53,19 +55,34 @@
 	Err    error
 	Sent   bool          // The backend server may have received a part of the request.
 	Load   *booking.Load // What the owner said last; nil if it said nothing.
+
+	// Stamp is what the owner said of its configuration in reply to what was
+	// asked at Asked; zero if it said nothing.
+	Stamp freshness.Stamp
+	Asked time.Time
 }
 
 // Offer asks the owner at an address to run o. The body is read only once the
 // owner has a slot for it. Until then an offer that comes to nothing has
 // certainly not run.
 func (c *Courier) Offer(ctx context.Context, to netip.AddrPort, o *order.Order, body func() (io.Reader, error)) Reply {
+	asked := time.Now()
+	f := &offer{ctx: ctx}
+	r := c.offer(f, to, o, body)
+	r.Asked, r.Stamp = asked, f.stamp
+	return r
+}
+
+func (c *Courier) offer(f *offer, to netip.AddrPort, o *order.Order, body func() (io.Reader, error)) Reply {
+	ctx := f.ctx
 	dial, stop := context.WithTimeout(ctx, reactionTime)
 	stream, err := c.Mesh.Open(dial, to)
 	stop()
 	if err != nil {
 		return Reply{Err: notSent(ctx, err)}
 	}
-	f := &offer{stream: stream, ctx: ctx, stop: context.AfterFunc(ctx, func() { _ = stream.Close() })}
+	f.stream = stream
+	f.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	_ = stream.SetDeadline(o.Deadline.Add(linger))
 	reaction := time.AfterFunc(reactionTime, f.expire)
 	defer reaction.Stop()
@@ -94,6 +111,7 @@
 	stream *link.Stream
 	ctx    context.Context
 	stop   func() bool
+	stamp  freshness.Stamp
 }
 
 func (f *offer) end() {
@@ -121,6 +139,7 @@
 		case *peerpb.Frame_Verdict:
 			l := fromLoad(body.Verdict.GetLoad())
 			load = &l
+			f.stamp = FromFreshness(body.Verdict.GetFreshness())
 			switch Decision(body.Verdict.GetDecision()) {
 			case Accepted:
 				return load, nil
@@ -247,6 +266,17 @@
 	}
 }
 
+// ToFreshness and FromFreshness translate what a node tells of its
+// configuration.
+func ToFreshness(s freshness.Stamp) *peerpb.Freshness {
+	return &peerpb.Freshness{Version: s.Version, AgeNanos: int64(s.Age)}
+}
+
+// FromFreshness is the inverse of ToFreshness.
+func FromFreshness(f *peerpb.Freshness) freshness.Stamp {
+	return freshness.Stamp{Version: f.GetVersion(), Age: time.Duration(f.GetAgeNanos())}
+}
+
 func toLoad(l booking.Load) *peerpb.Load {
 	return &peerpb.Load{
 		Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -16,4 +16,5 @@
 	Summary                  // An owner's capacity.
 	Presence                 // A node's presence and load; answered with the peer's.
 	Tokens                   // Tokens of a customer's limit, one request at a time.
+	Configuration            // The configuration that the peer runs.
 )
