Give up an owner that does not react at once

Cause: closing a yamux stream does not wake its reader until the peer closes its side, so that an offer over a cut way waited for the deadline instead of 150 ms. Ruled out: the reaction timer itself, which fired in time.

Aborting a stream now wakes its reader, and what follows uses a new session: a connection may go silent while new ones work. The watch of the depot goes, nothing uses it any more.

--- a/internal/node/depot/depot.go
+++ b/internal/node/depot/depot.go
@@ -12,7 +12,6 @@
 	Key      string
 	Value    []byte
 	Revision int64 // Revision of the last change.
-	Deleted  bool  // The key was removed; only in events.
 }
 
 // Page is what a read returns.
@@ -29,9 +28,8 @@
 
 // Errors of a depot besides those of its connection.
 var (
-	ErrCompacted = errors.New("history before the revision is gone")
-	ErrConflict  = errors.New("a key has changed since it was read")
-	ErrNoLease   = errors.New("the lease has ended")
+	ErrConflict = errors.New("a key has changed since it was read")
+	ErrNoLease  = errors.New("the lease has ended")
 )
 
 // Depot is the key-value service. Its answers are linearizable unless a read
@@ -42,8 +40,6 @@
 	// List returns the items whose keys begin with prefix. A stale list costs
 	// less and may be seconds old.
 	List(ctx context.Context, prefix string, stale bool) (Page, error)
-	// Watch waits for changes after a revision for up to wait.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error)
 	// Put writes a key under a lease.
 	Put(ctx context.Context, key string, value []byte, lease int64) error
 	// Remove deletes a key.
--- a/internal/peer/courier/offer.go
+++ b/internal/peer/courier/offer.go
@@ -82,7 +82,7 @@
 		return Reply{Err: notSent(ctx, err)}
 	}
 	f.stream = stream
-	f.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
+	f.stop = context.AfterFunc(ctx, stream.Abort)
 	_ = stream.SetDeadline(o.Deadline.Add(linger))
 	reaction := time.AfterFunc(reactionTime, f.expire)
 	defer reaction.Stop()
@@ -93,6 +93,9 @@
 	v, err := f.await(reaction)
 	if err != nil {
 		f.end()
+		if v == nil && ctx.Err() == nil {
+			c.Mesh.Renew(to)
+		}
 		return Reply{Err: err, Load: v}
 	}
 	return f.commit(body, v)
@@ -121,7 +124,7 @@
 
 // expire gives up an offer that the owner did not react to.
 func (f *offer) expire() {
-	_ = f.stream.Close()
+	f.stream.Abort()
 }
 
 // await reads verdicts until the owner has a slot or refuses.
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -27,6 +27,7 @@
 	openTimeout      = time.Second
 	maxQuestions     = 256 // Questions of one peer that are answered at once.
 	acceptBacklog    = 1024
+	renewedTime      = 12 * time.Second // Time that the streams of a session have to end once it was replaced.
 	failuresToReopen = 2               // Questions in a row without a reply after which the session may be replaced,
 	silenceToReopen  = 2 * time.Second // and the time without any reply.
 )
@@ -302,6 +303,18 @@
 	}
 }
 
+// Renew lets what comes next use a new session to a peer: a connection may go
+// silent while new ones work. Streams of the old session may still end.
+func (m *Mesh) Renew(to netip.AddrPort) {
+	m.mu.Lock()
+	s := m.sessions[to]
+	delete(m.sessions, to)
+	m.mu.Unlock()
+	if s != nil {
+		time.AfterFunc(renewedTime, func() { m.drop(to, s) })
+	}
+}
+
 // CloseIdle closes sessions that carried nothing for a while.
 func (m *Mesh) CloseIdle(now time.Time) {
 	m.mu.Lock()
--- a/internal/peer/link/stream.go
+++ b/internal/peer/link/stream.go
@@ -20,6 +20,13 @@
 	return s.raw.Close()
 }
 
+// Abort ends both directions and wakes a reader, which Close alone does only once
+// the peer has closed its side.
+func (s *Stream) Abort() {
+	_ = s.raw.Close()
+	_ = s.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
 // SetDeadline bounds all reads and writes.
 func (s *Stream) SetDeadline(t time.Time) error {
 	return s.raw.SetDeadline(t)
