Let one scout of each data centre ask the store

The first node of a data centre asks the store at 0.6 s, the others ask it at 0.4 s, and the store only when that leaves their proof older than 1.2 s.

--- /dev/null
+++ b/internal/backend/booking/booking_test.go
@@ -0,0 +1,212 @@
+package booking_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// ticket is a request on a route with an objective of 200 ms.
+func ticket(id uint64, level order.Level) booking.Ticket {
+	return booking.Ticket{ID: id, Route: "r", Level: level, Deadline: at(time.Minute), Objective: 200 * time.Millisecond}
+}
+
+// describe returns the effects as text.
+func describe(effects []booking.Effect) string {
+	s := ""
+	for _, e := range effects {
+		switch e := e.(type) {
+		case booking.Start:
+			s += fmt.Sprintf("start %d;", e.ID)
+		case booking.Wait:
+			s += fmt.Sprintf("wait %d;", e.ID)
+		case booking.Refuse:
+			s += fmt.Sprintf("refuse %d;", e.ID)
+		}
+	}
+	return s
+}
+
+func expect(t *testing.T, desc string, effects []booking.Effect, want string) {
+	t.Helper()
+	if got := describe(effects); got != want {
+		t.Errorf("%s: got %q, want %q", desc, got, want)
+	}
+}
+
+// open returns a desk that has answered enough requests, of 50 ms each, to know
+// how long they take.
+func open(slots int) *booking.Desk {
+	d := new(booking.Desk)
+	d.Open(at(-time.Second), slots)
+	for i := range 10 {
+		from := at(-time.Second + time.Duration(i)*60*time.Millisecond)
+		d.Enter(from, ticket(uint64(1000+i), order.Trusted))
+		d.Leave(from.Add(50*time.Millisecond), uint64(1000+i), booking.Answered)
+	}
+	return d
+}
+
+// TestDesk_Enter_hang answers the load of a backend server that hangs: requests
+// that run only once are kept away after the first that hangs.
+func TestDesk_Enter_hang(t *testing.T) {
+	d := open(3)
+	expect(t, "first", d.Enter(at(0), ticket(1, order.Trusted)), "start 1;")
+	expect(t, "while it hangs", d.Enter(at(300*time.Millisecond), ticket(2, order.Trusted)), "refuse 2;")
+	expect(t, "queued", d.Enter(at(310*time.Millisecond), ticket(3, order.Queued)), "refuse 3;")
+	expect(t, "no other is left", d.Enter(at(320*time.Millisecond), ticket(4, order.Any)), "start 4;")
+}
+
+// TestDesk_Enter_trial answers the load of a backend server that is suspected:
+// it gets idempotent requests one at a time, and more rarely while they fail.
+func TestDesk_Enter_trial(t *testing.T) {
+	d := open(3)
+	d.Enter(at(0), ticket(1, order.Trusted))
+	d.Leave(at(400*time.Millisecond), 1, booking.Failed)
+	once := ticket(2, order.Trusted)
+	expect(t, "runs only once", d.Enter(at(410*time.Millisecond), once), "refuse 2;")
+	trials := 0
+	for ms := 420; ms < 3000; ms += 10 {
+		idempotent := ticket(uint64(ms), order.Trusted)
+		idempotent.Idempotent = true
+		now := at(time.Duration(ms) * time.Millisecond)
+		if describe(d.Enter(now, idempotent)) == fmt.Sprintf("start %d;", ms) {
+			trials++
+			d.Leave(now.Add(5*time.Millisecond), uint64(ms), booking.Failed)
+		}
+	}
+	if trials < 2 || trials > 4 {
+		t.Errorf("got %d trials that failed in 2.6 s, want 2 to 4", trials)
+	}
+}
+
+// TestDesk_Enter_givenUp answers the load of entries that give up what takes
+// long because they were answered elsewhere: that counts against the backend
+// server, or a hanging one would never be noticed.
+func TestDesk_Enter_givenUp(t *testing.T) {
+	d := open(3)
+	d.Enter(at(0), ticket(1, order.Trusted))
+	d.Leave(at(100*time.Millisecond), 1, booking.Abandoned)
+	expect(t, "after one that was slow", d.Enter(at(110*time.Millisecond), ticket(2, order.Trusted)), "refuse 2;")
+	d = open(3)
+	d.Enter(at(0), ticket(1, order.Trusted))
+	d.Leave(at(20*time.Millisecond), 1, booking.Abandoned)
+	expect(t, "after one whose caller left", d.Enter(at(30*time.Millisecond), ticket(2, order.Trusted)), "start 2;")
+}
+
+// TestDesk_Enter_order answers a burst: what a backend server waits for starts
+// first, then by priority and by deadline.
+func TestDesk_Enter_order(t *testing.T) {
+	d := open(1)
+	expect(t, "runs", d.Enter(at(0), ticket(1, order.Queued)), "start 1;")
+	late, urgent, nested := ticket(2, order.Queued), ticket(3, order.Queued), ticket(4, order.Queued)
+	late.Priority, urgent.Priority, nested.Priority = 2, 1, 5
+	nested.Nested = true
+	soon := late
+	soon.ID, soon.Deadline = 5, late.Deadline.Add(-time.Second)
+	for _, w := range []booking.Ticket{late, urgent, nested, soon} {
+		expect(t, "waits", d.Enter(at(0), w), fmt.Sprintf("wait %d;", w.ID))
+	}
+	for i, want := range []uint64{4, 3, 5, 2} {
+		previous := []uint64{1, 4, 3, 5}[i]
+		now := at(time.Duration(i+1) * 50 * time.Millisecond)
+		expect(t, "next", d.Leave(now, previous, booking.Answered), fmt.Sprintf("start %d;", want))
+	}
+}
+
+// TestDesk_Enter_hopeless answers an overload: what cannot be answered in time
+// is refused at once.
+func TestDesk_Enter_hopeless(t *testing.T) {
+	d := open(1)
+	d.Enter(at(0), ticket(1, order.Queued))
+	w := ticket(2, order.Queued)
+	w.Deadline = at(60 * time.Millisecond)
+	expect(t, "cannot be in time", d.Enter(at(0), w), "refuse 2;")
+	w.ID, w.Deadline = 3, at(200*time.Millisecond)
+	expect(t, "can be in time", d.Enter(at(0), w), "wait 3;")
+	expect(t, "no longer", d.Tick(at(160*time.Millisecond)), "refuse 3;")
+}
+
+// TestDesk_Enter_stuck answers a backend server all of whose slots hang: nothing
+// waits behind them.
+func TestDesk_Enter_stuck(t *testing.T) {
+	d := open(1)
+	d.Enter(at(0), ticket(1, order.Any))
+	expect(t, "waits", d.Enter(at(10*time.Millisecond), ticket(2, order.Any)), "wait 2;")
+	expect(t, "hangs", d.Tick(at(200*time.Millisecond)), "refuse 2;")
+	expect(t, "behind it", d.Enter(at(210*time.Millisecond), ticket(3, order.Any)), "refuse 3;")
+}
+
+// TestDesk_slots plays random requests: never more run than there are slots,
+// each gets one end, and none waits beside a free slot.
+func TestDesk_slots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		d := new(booking.Desk)
+		now := start
+		d.Open(now, slots)
+		running, waiting := map[uint64]bool{}, map[uint64]bool{}
+		apply := func(effects []booking.Effect) {
+			for _, e := range effects {
+				switch e := e.(type) {
+				case booking.Start:
+					delete(waiting, e.ID)
+					running[e.ID] = true
+				case booking.Wait:
+					waiting[e.ID] = true
+				case booking.Refuse:
+					if running[e.ID] {
+						t.Fatalf("request %d was refused while it runs", e.ID)
+					}
+					delete(waiting, e.ID)
+				}
+			}
+		}
+		for id := range uint64(200) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "gap")) * time.Millisecond)
+			k := ticket(id, order.Level(rapid.IntRange(0, 2).Draw(t, "level")))
+			k.Deadline = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "left")) * time.Millisecond)
+			k.Idempotent = rapid.Bool().Draw(t, "idempotent")
+			apply(d.Enter(now, k))
+			for r := range running {
+				if rapid.IntRange(0, 2).Draw(t, "leave") == 0 {
+					delete(running, r)
+					apply(d.Leave(now, r, booking.Outcome(rapid.IntRange(0, 3).Draw(t, "outcome"))))
+					break
+				}
+			}
+			if len(running) > slots {
+				t.Fatalf("got %d running, want at most %d", len(running), slots)
+			}
+			if l := d.Load(now); l.Running != len(running) || l.Waiting != len(waiting) || l.Waiting > 0 && l.Running < slots {
+				t.Fatalf("got the load %+v, want %d running and %d waiting of %d slots", l, len(running), len(waiting), slots)
+			}
+		}
+	})
+}
+
+// TestDesk_Load_age answers the load of a backend server that begins to hang:
+// the longer a request runs, the likelier the next one is to fail.
+func TestDesk_Load_age(t *testing.T) {
+	d := open(3)
+	d.Enter(at(0), ticket(1, order.Trusted))
+	last := 0.0
+	for _, ms := range []int{25, 50, 75, 100, 150} {
+		got := d.Load(at(time.Duration(ms) * time.Millisecond)).Failing
+		if got <= last {
+			t.Errorf("after %d ms: got %.2f, want more than %.2f", ms, got, last)
+		}
+		last = got
+	}
+	expect(t, "a fresh request", d.Enter(at(20*time.Millisecond), ticket(2, order.Trusted)), "start 2;")
+	expect(t, "twice the usual time later", d.Enter(at(100*time.Millisecond), ticket(3, order.Trusted)), "refuse 3;")
+}
--- a/internal/config/freshness/freshness.go
+++ b/internal/config/freshness/freshness.go
@@ -12,12 +12,15 @@
 	Age     time.Duration // Age of the proof that there was no newer version.
 }
 
-// Effect is what a stamp or a moment calls for: Ask, Fetch or Nothing.
+// Effect is what a stamp or a moment calls for: Ask, Consult, Fetch or Nothing.
 type Effect interface{ effect() }
 
 // Ask calls for a question to the store.
 type Ask struct{}
 
+// Consult calls for the stamp of the scout of the data centre.
+type Consult struct{}
+
 // Fetch calls for the configuration of the peer that sent the stamp.
 type Fetch struct{ Version uint64 }
 
@@ -25,6 +28,7 @@
 type Nothing struct{}
 
 func (Ask) effect()     {}
+func (Consult) effect() {}
 func (Fetch) effect()   {}
 func (Nothing) effect() {}
 
@@ -36,15 +40,21 @@
 	at      time.Time // Moment that the proof holds for; zero if there is none.
 	tried   time.Time // Time of the last question to the store.
 	failed  int       // Questions in a row that failed.
+
+	consulted time.Time // Time of the last question to the scout.
 }
 
-// Bounds of the questions to the store.
+// Bounds of the questions. A scout asks the store for its data centre; the
+// others ask the scout, and the store only if that does not help.
 const (
-	// Limit is the age of the proof at which a node asks the store.
-	Limit = 900 * time.Millisecond
-
-	firstPause = 250 * time.Millisecond // After a question that failed;
-	maxPause   = 1500 * time.Millisecond
+	// Limit is the age of the proof at which any node asks the store.
+	Limit = 1200 * time.Millisecond
+
+	scoutLimit   = 600 * time.Millisecond  // Age at which a scout does.
+	consultLimit = 400 * time.Millisecond  // Age at which another node asks the scout.
+	consultPause = 250 * time.Millisecond  // Least time between two such questions.
+	firstPause   = 250 * time.Millisecond  // Least time between two questions to the store, while they succeed
+	maxPause     = 1500 * time.Millisecond // and after many that failed.
 )
 
 // Version returns the version that the node runs.
@@ -86,27 +96,57 @@
 	return Nothing{}
 }
 
-// Tick tells whether to ask the store now.
-func (p *Proof) Tick(now time.Time) Effect {
-	if now.Before(p.Next()) {
-		return Nothing{}
+// Tick tells what to ask now. A scout is the node of its data centre that the
+// others consult.
+func (p *Proof) Tick(now time.Time, scout bool) Effect {
+	switch {
+	case !now.Before(p.nextAsk(scout)):
+		p.tried = now
+		return Ask{}
+	case !scout && !now.Before(p.nextConsult()):
+		p.consulted = now
+		return Consult{}
 	}
-	p.tried = now
-	return Ask{}
+	return Nothing{}
 }
 
-// Next returns the time of the next question to the store.
-func (p *Proof) Next() time.Time {
-	next := time.Time{}
-	if !p.at.IsZero() {
-		next = p.at.Add(Limit)
+// Next returns the time at which Tick is due.
+func (p *Proof) Next(scout bool) time.Time {
+	next := p.nextAsk(scout)
+	if scout {
+		return next
+	}
+	if consult := p.nextConsult(); consult.Before(next) {
+		return consult
+	}
+	return next
+}
+
+func (p *Proof) nextAsk(scout bool) time.Time {
+	limit := Limit
+	if scout {
+		limit = scoutLimit
 	}
 	pause := firstPause
 	if p.failed > 0 {
 		pause = min(firstPause<<min(p.failed-1, 8), maxPause)
 	}
-	if after := p.tried.Add(pause); !p.tried.IsZero() && after.After(next) {
-		next = after
+	return later(p.at, limit, p.tried, pause)
+}
+
+func (p *Proof) nextConsult() time.Time {
+	return later(p.at, consultLimit, p.consulted, consultPause)
+}
+
+// later returns the later of two moments, each some time after another one that
+// may never have been.
+func later(a time.Time, afterA time.Duration, b time.Time, afterB time.Duration) time.Time {
+	var next time.Time
+	if !a.IsZero() {
+		next = a.Add(afterA)
+	}
+	if !b.IsZero() && b.Add(afterB).After(next) {
+		next = b.Add(afterB)
 	}
 	return next
 }
--- a/internal/config/freshness/freshness_test.go
+++ b/internal/config/freshness/freshness_test.go
@@ -46,7 +46,7 @@
 				if cut {
 					touched[n] = cutUntil[n]
 				}
-				if _, ask := nodes[n].Tick(now).(freshness.Ask); ask {
+				if _, ask := nodes[n].Tick(now, n == 0).(freshness.Ask); ask {
 					if cut {
 						nodes[n].Asked(errors.New("store is away"))
 					} else {
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -106,6 +106,21 @@
 	return list
 }
 
+// Neighbours returns the addresses of the nodes of the data centre with this
+// one, sorted.
+func (d *Discovery) Neighbours() []netip.AddrPort {
+	list := []netip.AddrPort{d.Self.Address}
+	d.mu.Lock()
+	for a, p := range d.known {
+		if p.presence.DataCentre == d.Self.DataCentre && !p.presence.Leaving {
+			list = append(list, a)
+		}
+	}
+	d.mu.Unlock()
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list
+}
+
 // Start joins the fleet and keeps the record until ctx ends.
 func (d *Discovery) Start(ctx context.Context, timers *timer.Service) {
 	go d.join(ctx)
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -31,7 +31,12 @@
 	answerTime = 500 * time.Millisecond
 
 	// jitter spreads the questions of nodes whose proofs have the same age.
-	jitter = 200 * time.Millisecond
+	jitter = 100 * time.Millisecond
+
+	// consultTime is the time in which the scout must answer, and silentPause
+	// the time for which one that did not is passed over.
+	consultTime = 150 * time.Millisecond
+	silentPause = 3 * time.Second
 )
 
 // Follower follows one key of the depot.
@@ -42,13 +47,19 @@
 	Decode func(value []byte) (version uint64, s set.Set, err error) // Reads its value.
 	Log    zerolog.Logger
 
+	// Neighbours returns the nodes of the data centre with this one, in the same
+	// order everywhere. The first that answers is the scout.
+	Self       netip.AddrPort
+	Neighbours func() []netip.AddrPort
+
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	fetching atomic.Bool
 
 	mu       sync.Mutex // Guards the fields below.
 	proof    freshness.Proof
-	value    []byte // The configuration as the operator wrote it.
-	revision int64  // Revision of the key that was read last.
+	value    []byte                       // The configuration as the operator wrote it.
+	revision int64                        // Revision of the key that was read last.
+	silent   map[netip.AddrPort]time.Time // Until when neighbours are not consulted.
 }
 
 // Snapshot returns the configuration, or nil before the first was read.
@@ -63,28 +74,70 @@
 	return f.proof.Stamp(now)
 }
 
-// Run asks the depot whenever the proof is too old, until ctx ends.
+// Run asks the depot or the scout whenever the proof is too old, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	reachable := true
 	for ctx.Err() == nil {
-		f.mu.Lock()
 		now := time.Now()
-		_, ask := f.proof.Tick(now).(freshness.Ask)
-		wait := f.proof.Next().Sub(now)
+		scout := f.scout(now)
+		f.mu.Lock()
+		effect := f.proof.Tick(now, scout == f.Self)
+		wait := f.proof.Next(scout == f.Self).Sub(now)
 		f.mu.Unlock()
-		if !ask {
+		switch effect.(type) {
+		case freshness.Ask:
+			err := f.read(ctx)
+			if ctx.Err() == nil && (err == nil) != reachable {
+				reachable = err == nil
+				f.logReach(err)
+			}
+		case freshness.Consult:
+			f.consult(ctx, scout)
+		default:
 			sleep(ctx, wait+rand.N(jitter))
-			continue
 		}
-		err := f.read(ctx)
-		if ctx.Err() != nil {
-			return
+	}
+}
+
+// scout returns the neighbour to consult.
+func (f *Follower) scout(now time.Time) netip.AddrPort {
+	neighbours := f.Neighbours()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range neighbours {
+		if a == f.Self || !now.Before(f.silent[a]) {
+			return a
 		}
-		if (err == nil) != reachable {
-			reachable = err == nil
-			f.logReach(err)
+	}
+	return f.Self
+}
+
+// consult asks the scout for its stamp.
+func (f *Follower) consult(ctx context.Context, scout netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, consultTime)
+	defer cancel()
+	asked := time.Now()
+	reply, err := f.Mesh.Ask(ctx, scout, question.Freshness, nil)
+	var m peerpb.Freshness
+	if err == nil {
+		err = proto.Unmarshal(reply, &m)
+	}
+	if err != nil {
+		f.mu.Lock()
+		if f.silent == nil {
+			f.silent = make(map[netip.AddrPort]time.Time)
 		}
+		f.silent[scout] = time.Now().Add(silentPause)
+		f.mu.Unlock()
+		return
 	}
+	f.Hear(scout, asked, freshness.Stamp{Version: m.GetVersion(), Age: time.Duration(m.GetAgeNanos())})
+}
+
+// AnswerFreshness returns the stamp for a neighbour.
+func (f *Follower) AnswerFreshness(now time.Time) ([]byte, error) {
+	s := f.Stamp(now)
+	return proto.Marshal(&peerpb.Freshness{Version: s.Version, AgeNanos: int64(s.Age)})
 }
 
 func (f *Follower) logReach(err error) {
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -45,7 +45,7 @@
 	noticeTime = 2500 * time.Millisecond
 
 	// exitMargin is what is left of the grace when the node exits by itself.
-	exitMargin   = 400 * time.Millisecond
+	exitMargin   = 800 * time.Millisecond
 	pollInterval = 50 * time.Millisecond
 )
 
@@ -98,7 +98,7 @@
 func New(s Settings, p Ports, log zerolog.Logger, now time.Time) *Sidecar {
 	c := &Sidecar{settings: s, ports: p, log: log, metrics: metrics.New(), failed: make(chan error, 1)}
 	c.mesh = link.New(nil, nil, c)
-	c.follower = &follower.Follower{Depot: p.Depot, Mesh: c.mesh, Key: p.ConfigurationKey, Decode: p.Decode, Log: log}
+	c.follower = &follower.Follower{Depot: p.Depot, Mesh: c.mesh, Key: p.ConfigurationKey, Decode: p.Decode, Log: log, Self: s.Peers}
 	c.host = &host.Host{Address: s.BackendServer, Dialect: p.Dialect, HealthPath: c.healthPath, Stamp: c.follower.Stamp, Log: log}
 	c.discovery = &discovery.Discovery{
 		Self: discovery.Record{
@@ -106,6 +106,7 @@
 		},
 		Depot: p.Depot, Mesh: c.mesh, Load: c.host.Load, Log: log, Heard: c.heard, Lost: c.lost,
 	}
+	c.follower.Neighbours = c.discovery.Neighbours
 	c.dispatch = &dispatch.Dispatch{
 		Self: s.Peers, DataCentre: s.DataCentre, Host: c.host, Courier: &courier.Courier{Mesh: c.mesh}, Terms: c.terms, Log: log,
 		Heard: c.follower.Hear,
@@ -157,6 +158,8 @@
 		return c.discovery.Answer(time.Now(), payload)
 	case question.Tokens:
 		return c.quotas.Answer(time.Now(), payload)
+	case question.Freshness:
+		return c.follower.AnswerFreshness(time.Now())
 	case question.Configuration:
 		return c.follower.Answer(time.Now())
 	default:
