Tell a backend server that begins to hang from one that is busy

It was noticed only after three times the usual time, not at all when the entry gave up first, and then tried four times a second. Ruled out: the number of attempts, which routes bound at two.

Suspicion is now a sum of evidence: good answers against the ages of all requests that still run. Trials grow rarer while they fail; nothing waits behind slots that all hang; slow backend servers cost; the own data centre goes first and large bodies wait there.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -19,19 +19,21 @@
 	// failing is the suspicion above which requests that could wait go elsewhere.
 	failing = 0.5
 
-	// trialPause is the least time between two such requests.
-	trialPause = 250 * time.Millisecond
+	// firstTrialPause and maxTrialPause bound the time between two such requests
+	// while they fail. It doubles with each failure.
+	firstTrialPause = 500 * time.Millisecond
+	maxTrialPause   = 4 * time.Second
 
 	// overdueFactor times the mean time of a route's answers is the age at which
 	// a request counts as hanging.
-	overdueFactor = 3.0
+	overdueFactor = 2.2
 
 	// overdueLeast is the least such age.
 	overdueLeast = 80 * time.Millisecond
 
-	// unknownFactor times the objective is that age before the route's mean is
-	// known.
-	unknownFactor = 0.7
+	// unknownFactor times the objective is what a request is expected to take
+	// before the route's mean is known.
+	unknownFactor = 0.35
 
 	// smoothing is the weight of the newest answer in a mean.
 	smoothing = 0.15
@@ -113,7 +115,8 @@
 	suspicion suspicion.Suspicion
 	hold      time.Duration // Mean time that a request holds its slot.
 	means     map[string]*mean
-	lastTrial time.Time
+	nextTrial time.Time
+	failures  int // Trials in a row that failed.
 }
 
 // Load is what other nodes are told of a desk.
@@ -123,7 +126,7 @@
 	Slots   int
 	Failing float64       // Likelihood that the next request fails, 0 to 1.
 	Serving bool          // It takes requests.
-	Hold    time.Duration // Mean time that a request holds its slot.
+	Hold    time.Duration // Mean time that a request holds its slot; zero if unknown.
 }
 
 // Open lets requests in, to the given number of slots.
@@ -133,9 +136,9 @@
 }
 
 // Close refuses the requests that wait. Those that run go on.
-func (d *Desk) Close(now time.Time) []Effect {
+func (d *Desk) Close() []Effect {
 	d.open = false
-	return d.turnAway(now, func(Ticket) bool { return true })
+	return d.turnAway(func(Ticket) bool { return true })
 }
 
 // Reset forgets what is known of the backend server, for its successor.
@@ -149,20 +152,17 @@
 func (d *Desk) Load(now time.Time) Load {
 	return Load{
 		Running: len(d.running), Waiting: len(d.waiting), Slots: d.slots,
-		Failing: d.failing(now), Serving: d.open, Hold: d.holdTime(),
+		Failing: d.failing(now), Serving: d.open, Hold: d.hold,
 	}
 }
 
-// failing returns the likelihood that the next request fails. A request that
-// hangs now counts for more than those that ended.
+// failing returns the likelihood that the next request fails.
 func (d *Desk) failing(now time.Time) float64 {
-	v := d.suspicion.Value(now)
+	ages := make([]float64, 0, len(d.running))
 	for _, r := range d.running {
-		if r.overdue {
-			return max(v, failing+0.1)
-		}
+		ages = append(ages, float64(now.Sub(r.started))/float64(d.usual(r.ticket)))
 	}
-	return v
+	return d.suspicion.Value(now, ages...)
 }
 
 // Enter asks for a slot.
@@ -194,7 +194,7 @@
 
 // trialDue reports whether a suspected backend server may be tried.
 func (d *Desk) trialDue(now time.Time) bool {
-	if now.Sub(d.lastTrial) < trialPause {
+	if now.Before(d.nextTrial) {
 		return false
 	}
 	for _, r := range d.running {
@@ -209,7 +209,7 @@
 // the ticket that would start last.
 func (d *Desk) queue(now time.Time, t Ticket) []Effect {
 	at, _ := slices.BinarySearchFunc(d.waiting, t, compare)
-	if now.Add(d.wait(at) + d.expected(t.Route)).After(t.Deadline) {
+	if d.moving() == 0 || now.Add(d.wait(at)+d.expected(t.Route)).After(t.Deadline) {
 		return []Effect{d.refuse(t)}
 	}
 	var effects []Effect
@@ -240,7 +240,19 @@
 // wait is the time after which the ticket at a place of the queue is expected
 // to start.
 func (d *Desk) wait(place int) time.Duration {
-	return d.holdTime() * time.Duration(place+1) / time.Duration(max(d.slots, 1))
+	return d.holdTime() * time.Duration(place+1) / time.Duration(max(d.moving(), 1))
+}
+
+// moving is the number of slots that requests come and go in. One whose request
+// hangs may not be free again before the deadline of that request.
+func (d *Desk) moving() int {
+	n := d.slots
+	for _, r := range d.running {
+		if r.overdue {
+			n--
+		}
+	}
+	return max(n, 0)
 }
 
 func (d *Desk) holdTime() time.Duration {
@@ -260,10 +272,15 @@
 
 // overdueAge is the age at which a request counts as hanging.
 func (d *Desk) overdueAge(t Ticket) time.Duration {
+	return max(time.Duration(overdueFactor*float64(d.usual(t))), overdueLeast)
+}
+
+// usual is the time that a request usually takes.
+func (d *Desk) usual(t Ticket) time.Duration {
 	if e := d.expected(t.Route); e > 0 {
-		return max(time.Duration(overdueFactor*float64(e)), overdueLeast)
+		return e
 	}
-	return max(time.Duration(unknownFactor*float64(t.Objective)), overdueLeast)
+	return max(time.Duration(unknownFactor*float64(t.Objective)), time.Millisecond)
 }
 
 func (d *Desk) start(now time.Time, t Ticket, trial bool) Start {
@@ -272,7 +289,7 @@
 	}
 	d.running[t.ID] = &run{ticket: t, started: now, trial: trial}
 	if trial {
-		d.lastTrial = now
+		d.nextTrial = now.Add(min(firstTrialPause<<min(d.failures, 8), maxTrialPause))
 	}
 	return Start{ID: t.ID}
 }
@@ -296,17 +313,35 @@
 		if !r.overdue {
 			d.suspicion.Good(now)
 		}
+		if r.trial {
+			d.failures, d.nextTrial = 0, now
+		}
 	case Failed:
-		d.suspicion.Bad(now)
+		d.bad(now, r)
 	case Abandoned:
-		if r.overdue {
-			d.suspicion.Bad(now)
+		// An entry gives up what takes long and got its answer elsewhere.
+		if r.overdue || took >= d.slowAge(r.ticket) {
+			d.bad(now, r)
 		}
 	case Refused:
 	}
 	return d.fill(now, d.Tick(now))
 }
 
+// bad notes a request that failed or hung.
+func (d *Desk) bad(now time.Time, r *run) {
+	d.suspicion.Bad(now)
+	if r.trial {
+		d.failures++
+	}
+}
+
+// slowAge is the age from which a request that was given up counts against the
+// backend server.
+func (d *Desk) slowAge(t Ticket) time.Duration {
+	return d.overdueAge(t) * 2 / 3
+}
+
 func (d *Desk) answered(r *run, took time.Duration) {
 	d.hold = smooth(d.holdTime(), took)
 	if d.means == nil {
@@ -330,15 +365,15 @@
 func (d *Desk) Tick(now time.Time) []Effect {
 	hangs := false
 	for _, r := range d.running {
-		if !r.overdue && now.Sub(r.started) >= d.overdueAge(r.ticket) {
+		if now.Sub(r.started) >= d.overdueAge(r.ticket) {
 			r.overdue = true
-			d.suspicion.Bad(now)
 		}
 		hangs = hangs || r.overdue
 	}
-	return d.turnAway(now, func(t Ticket) bool {
+	stuck := d.moving() == 0
+	return d.turnAway(func(t Ticket) bool {
 		late := now.Add(d.expected(t.Route)).After(t.Deadline)
-		return late || hangs && t.Level < order.Any
+		return late || stuck || hangs && t.Level < order.Any
 	})
 }
 
@@ -361,7 +396,7 @@
 	return next
 }
 
-func (d *Desk) turnAway(_ time.Time, f func(Ticket) bool) []Effect {
+func (d *Desk) turnAway(f func(Ticket) bool) []Effect {
 	var effects []Effect
 	d.waiting = slices.DeleteFunc(d.waiting, func(t Ticket) bool {
 		if !f(t) {
--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -98,13 +98,13 @@
 }
 
 // pick chooses a node and counts the request there.
-func (d *Dispatch) pick(o *order.Order, exclude []netip.AddrPort, unsure bool) (netip.AddrPort, bool) {
+func (d *Dispatch) pick(o *order.Order, p step, exclude []netip.AddrPort) (netip.AddrPort, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.ranking.Hear(now, d.Self, d.Host.Load(now))
 	to, ok := d.ranking.Pick(now, ranking.Choice{
-		Service: o.Service, DataCentre: d.DataCentre, Large: isLarge(o), Unsure: unsure, Exclude: exclude, Random: rand.Float64(),
+		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Unsure: p.level == order.Any, Exclude: exclude, Random: rand.Float64(),
 	})
 	if ok {
 		d.ranking.Sent(to)
@@ -142,6 +142,13 @@
 	}
 }
 
+// doubt notes that a node's answer is overdue.
+func (d *Dispatch) doubt(to netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranking.Fail(time.Now(), to)
+}
+
 // send makes one offer to a node, which may be this one.
 func (d *Dispatch) send(ctx context.Context, to netip.AddrPort, o *order.Order, body func() (io.Reader, error)) courier.Reply {
 	if to != d.Self {
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -36,8 +36,23 @@
 	spread = 0.5
 )
 
-// offersAt is the number of nodes that a request is offered to at each level.
-var offersAt = [...]int{order.Trusted: 5, order.Queued: 4, order.Any: 3}
+// step is a row of offers that insist alike.
+type step struct {
+	level  order.Level
+	near   bool // Only to nodes of the data centre.
+	offers int  // Most nodes that are asked.
+}
+
+// The steps of a request. One with a large body rather waits in its data centre
+// than crosses to another.
+var (
+	steps = []step{
+		{order.Trusted, true, 4}, {order.Trusted, false, 4}, {order.Queued, true, 2}, {order.Queued, false, 3}, {order.Any, false, 3},
+	}
+	largeSteps = []step{
+		{order.Trusted, true, 4}, {order.Queued, true, 3}, {order.Trusted, false, 3}, {order.Queued, false, 3}, {order.Any, false, 3},
+	}
+)
 
 // sending is one request on its way.
 type sending struct {
@@ -157,6 +172,9 @@
 		return <-first
 	}
 	s.log("hedge", outcome{}, true)
+	for _, to := range s.excluded() {
+		s.dispatch.doubt(to)
+	}
 	second := s.launch()
 	select {
 	case end := <-first:
@@ -228,19 +246,23 @@
 // place offers the request to one node after the other, first to those that can
 // start it at once, until one takes it.
 func (s *sending) place(ctx context.Context) (*exchange.Answer, error) {
+	plan := steps
+	if isLarge(&s.request.Order) {
+		plan = largeSteps
+	}
+	refused := make(map[order.Level][]netip.AddrPort)
 	var last error
-	for level := order.Trusted; level <= order.Any; level++ {
-		exclude := s.excluded()
-		for range offersAt[level] {
+	for _, p := range plan {
+		for range p.offers {
 			if ctx.Err() != nil {
 				return nil, failure.FromContext(ctx, false)
 			}
-			to, ok := s.dispatch.pick(&s.request.Order, exclude, level == order.Any)
+			to, ok := s.dispatch.pick(&s.request.Order, p, append(s.excluded(), refused[p.level]...))
 			if !ok {
 				break
 			}
-			exclude = append(exclude, to)
-			reply := s.offer(ctx, to, level)
+			refused[p.level] = append(refused[p.level], to)
+			reply := s.offer(ctx, to, p.level)
 			if reply.Err == nil {
 				return gather(ctx, reply.Answer, s.request.Order.Method)
 			}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -100,11 +100,11 @@
 func (h *Host) apply(now time.Time, effect tenure.Effect) {
 	switch effect.(type) {
 	case tenure.Entered:
-		h.deliver(h.desk.Close(now))
+		h.deliver(h.desk.Close())
 		h.desk.Reset()
 		h.renewClient()
 	case tenure.Left:
-		h.deliver(h.desk.Close(now))
+		h.deliver(h.desk.Close())
 	case tenure.Updated, tenure.Ignored:
 	}
 }
@@ -192,7 +192,7 @@
 func (h *Host) Close(now time.Time) {
 	h.mu.Lock()
 	h.closing = true
-	h.deliver(h.desk.Close(now))
+	h.deliver(h.desk.Close())
 	h.mu.Unlock()
 	h.Changed()
 }
@@ -323,7 +323,7 @@
 func (h *Host) evict(instance string) {
 	h.mu.Lock()
 	h.tenure.Evict(instance)
-	h.deliver(h.desk.Close(time.Now()))
+	h.deliver(h.desk.Close())
 	h.mu.Unlock()
 	h.Log.Warn().Str("Instance", instance).Msg("another incarnation answered at the backend server's address")
 	h.Changed()
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -28,8 +28,8 @@
 	maxQuestions     = 256 // Questions of one peer that are answered at once.
 	acceptBacklog    = 1024
 	renewedTime      = 12 * time.Second // Time that the streams of a session have to end once it was replaced.
-	failuresToReopen = 2               // Questions in a row without a reply after which the session may be replaced,
-	silenceToReopen  = 2 * time.Second // and the time without any reply.
+	failuresToReopen = 2                // Questions in a row without a reply after which the session may be replaced,
+	silenceToReopen  = 2 * time.Second  // and the time without any reply.
 )
 
 // keepAlive finds connections that went silent.
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -24,12 +24,14 @@
 	// farCost is what another data centre costs, in busy parts of slots.
 	farCost = 0.35
 
-	// farBodyCost is the same for a request with a large body.
-	farBodyCost = 1.5
-
 	// failingCost weighs the likelihood of failure.
 	failingCost = 3.0
 
+	// slowCost weighs how much longer a backend server holds a slot than the
+	// fastest one, up to maxSlow times as long.
+	slowCost = 0.4
+	maxSlow  = 4.0
+
 	// shuffle spreads the choices of entries that know the same.
 	shuffle = 0.15
 
@@ -53,7 +55,7 @@
 type Choice struct {
 	Service    string
 	DataCentre string // Where the request is.
-	Large      bool   // It has a large body.
+	Near       bool   // Only nodes of that data centre.
 	Unsure     bool   // Ways that failed lately may be tried.
 	Exclude    []netip.AddrPort
 	Random     float64 // From 0 to 1.
@@ -142,15 +144,16 @@
 func (r *Ranking) Pick(now time.Time, w Choice) (netip.AddrPort, bool) {
 	var best netip.AddrPort
 	least := math.Inf(1)
+	fastest := r.fastest(w.Service)
 	for i, a := range r.order {
 		c := r.nodes[a]
-		if c.node.Service != w.Service || slices.Contains(w.Exclude, a) || !w.Unsure && now.Before(c.avoided) {
+		if c.node.Service != w.Service || w.Near && c.node.DataCentre != w.DataCentre || slices.Contains(w.Exclude, a) || !w.Unsure && now.Before(c.avoided) {
 			continue
 		}
 		if !c.load.Serving && !c.heard.IsZero() && now.Sub(c.heard) < askAgain {
 			continue
 		}
-		cost := c.cost(now, w) + shuffle*math.Mod(w.Random*float64(i+1)*math.Phi, 1)
+		cost := c.cost(now, w) + c.slowness(fastest) + shuffle*math.Mod(w.Random*float64(i+1)*math.Phi, 1)
 		if cost < least {
 			best, least = a, cost
 		}
@@ -158,15 +161,30 @@
 	return best, !math.IsInf(least, 1)
 }
 
+// fastest returns the least time that a backend server of the service holds a
+// slot, or zero if none is known.
+func (r *Ranking) fastest(service string) time.Duration {
+	var least time.Duration
+	for _, c := range r.nodes {
+		if c.node.Service == service && c.load.Hold > 0 && (least == 0 || c.load.Hold < least) {
+			least = c.load.Hold
+		}
+	}
+	return least
+}
+
+func (c *candidate) slowness(fastest time.Duration) float64 {
+	if fastest == 0 || c.load.Hold == 0 {
+		return 0
+	}
+	return slowCost * min(float64(c.load.Hold)/float64(fastest)-1, maxSlow)
+}
+
 func (c *candidate) cost(now time.Time, w Choice) float64 {
 	cost := max(c.busy(now), float64(c.inFlight)/float64(max(c.load.Slots, 1)))
 	cost += failingCost * c.load.Failing * c.fresh(now)
 	if c.node.DataCentre != w.DataCentre {
-		if w.Large {
-			cost += farBodyCost
-		} else {
-			cost += farCost
-		}
+		cost += farCost
 	}
 	if now.Before(c.avoided) {
 		cost += float64(c.misses)
--- /dev/null
+++ b/internal/route/ranking/ranking_test.go
@@ -0,0 +1,97 @@
+package ranking_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/route/ranking"
+)
+
+var (
+	now  = time.Unix(1000, 0)
+	near = netip.MustParseAddrPort("10.0.0.1:1")
+	same = netip.MustParseAddrPort("10.0.0.2:1")
+	far  = netip.MustParseAddrPort("10.0.1.1:1")
+)
+
+// three returns a ranking of two nodes in data centre a and one in b.
+func three(loads ...booking.Load) *ranking.Ranking {
+	r := new(ranking.Ranking)
+	for i, a := range []netip.AddrPort{near, same, far} {
+		dc := "a"
+		if a == far {
+			dc = "b"
+		}
+		r.Know(ranking.Node{Address: a, DataCentre: dc, Service: "s"})
+		r.Hear(now, a, loads[i])
+	}
+	return r
+}
+
+func load(running int, failing float64) booking.Load {
+	return booking.Load{Running: running, Slots: 3, Failing: failing, Serving: true, Hold: 100 * time.Millisecond}
+}
+
+func TestRanking_Pick(t *testing.T) {
+	slow := load(0, 0)
+	slow.Hold = time.Second
+	tests := []struct {
+		desc   string
+		loads  []booking.Load
+		choice ranking.Choice
+		want   netip.AddrPort
+	}{
+		{"least busy", []booking.Load{load(2, 0), load(0, 0), load(0, 0)}, ranking.Choice{}, same},
+		{"other data centre when the own is full", []booking.Load{load(3, 0), load(3, 0), load(0, 0)}, ranking.Choice{}, far},
+		{"own data centre alone", []booking.Load{load(3, 0), load(2, 0), load(0, 0)}, ranking.Choice{Near: true}, same},
+		{"not one that fails", []booking.Load{load(0, 0.5), load(2, 0), load(3, 0)}, ranking.Choice{}, same},
+		{"not one that is slow", []booking.Load{slow, load(2, 0), load(3, 0)}, ranking.Choice{}, same},
+		{"not one that left", []booking.Load{{Slots: 3}, load(3, 0), load(3, 0)}, ranking.Choice{}, same},
+		{"not one that refused", []booking.Load{load(0, 0), load(1, 0), load(3, 0)}, ranking.Choice{Exclude: []netip.AddrPort{near}}, same},
+	}
+	for _, tt := range tests {
+		for _, random := range []float64{0, 0.3, 0.7, 0.99} {
+			w := tt.choice
+			w.Service, w.DataCentre, w.Random = "s", "a", random
+			if got, ok := three(tt.loads...).Pick(now, w); !ok || got != tt.want {
+				t.Errorf("%s: got %s, want %s", tt.desc, got, tt.want)
+			}
+		}
+	}
+}
+
+// TestRanking_Miss answers ways that are cut: a node that does not react is
+// avoided for longer each time, and is tried again.
+func TestRanking_Miss(t *testing.T) {
+	r := three(load(0, 0), load(0, 0), load(0, 0))
+	w := ranking.Choice{Service: "s", DataCentre: "a", Exclude: []netip.AddrPort{same, far}}
+	r.Miss(now, near)
+	if _, ok := r.Pick(now.Add(400*time.Millisecond), w); ok {
+		t.Error("right after: got the node, want none")
+	}
+	if _, ok := r.Pick(now.Add(600*time.Millisecond), w); !ok {
+		t.Error("after the pause: got none, want the node")
+	}
+	r.Miss(now.Add(600*time.Millisecond), near)
+	if _, ok := r.Pick(now.Add(1200*time.Millisecond), w); ok {
+		t.Error("after the second time: got the node, want none")
+	}
+	w.Unsure = true
+	if _, ok := r.Pick(now.Add(1200*time.Millisecond), w); !ok {
+		t.Error("with no other left: got none, want the node")
+	}
+}
+
+func TestRanking_Pick_spread(t *testing.T) {
+	r := three(load(0, 0), load(0, 0), load(3, 0))
+	counts := map[netip.AddrPort]int{}
+	for i := range 1000 {
+		a, _ := r.Pick(now, ranking.Choice{Service: "s", DataCentre: "a", Random: float64(i) / 1000})
+		counts[a]++
+	}
+	if counts[near] < 200 || counts[same] < 200 {
+		t.Errorf("got %v, want both near nodes often", counts)
+	}
+}
