--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -267,7 +268,7 @@
 				return gather(ctx, reply.Answer, s.request.Order.Method)
 			}
 			last = reply.Err
-			if !s.elsewhere(to, reply) {
+			if !s.elsewhere(to, p.level, reply) {
 				return nil, reply.Err
 			}
 		}
@@ -313,7 +314,7 @@
 
 // elsewhere tells whether the offer came to nothing before anything was sent,
 // so that another node may be asked within the same attempt.
-func (s *sending) elsewhere(to netip.AddrPort, r courier.Reply) bool {
+func (s *sending) elsewhere(to netip.AddrPort, level order.Level, r courier.Reply) bool {
 	f := failure.From(r.Err)
 	if f.Kind == kind.NoCapacity || f.Kind == kind.UnreachablePeer {
 		s.mu.Lock()
@@ -327,8 +328,13 @@
 		s.mu.Unlock()
 		return !r.Sent || s.replayable()
 	}
-	s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Stringer("To", to).Str("Kind", f.Kind.String()).
-		Bool("Sent", r.Sent).Err(f.Err).Msg("attempt failed")
+	e := s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Stringer("To", to).Str("Kind", f.Kind.String()).
+		Uint32("Level", uint32(level)).Bool("Sent", r.Sent).Err(f.Err)
+	if r.Load != nil {
+		e = e.Float64("Failing", math.Round(r.Load.Failing*100)/100).Int("Running", r.Load.Running).
+			Int("Waiting", r.Load.Waiting).Int("Slots", r.Load.Slots)
+	}
+	e.Msg("attempt failed")
 	return false
 }
 
