Count repeats in the window that bounds them

A node now keeps its own requests of the window to the ratio and its part of the reserve, in every window; the sum keeps to the budget. Attempts that a backend server refused to run do not count; an overdue request asks again for a second attempt; full nodes are not offered what must not wait, and large bodies leave their data centre only for a free slot.

--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -104,7 +104,8 @@
 	now := time.Now()
 	d.ranking.Hear(now, d.Self, d.Host.Load(now))
 	to, ok := d.ranking.Pick(now, ranking.Choice{
-		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Unsure: p.level == order.Any, Exclude: exclude, Random: rand.Float64(),
+		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Free: p.level == order.Trusted, Unsure: p.level == order.Any,
+		Exclude: exclude, Random: rand.Float64(),
 	})
 	if ok {
 		d.ranking.Sent(to)
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -25,6 +25,9 @@
 	// idempotent request is asked for at a second backend server.
 	overduePart = 0.5
 
+	// maxTries bounds the attempts with those that backend servers refused.
+	maxTries = 6
+
 	// maxGathered is the longest answer, in bytes, that is read to its end
 	// before the caller sees any of it, so that another attempt can replace it.
 	maxGathered = 64 << 10
@@ -48,10 +51,10 @@
 // than crosses to another.
 var (
 	steps = []step{
-		{order.Trusted, true, 4}, {order.Trusted, false, 4}, {order.Queued, true, 2}, {order.Queued, false, 3}, {order.Any, false, 3},
+		{order.Trusted, true, 4}, {order.Trusted, false, 3}, {order.Queued, true, 2}, {order.Queued, false, 2}, {order.Any, false, 2},
 	}
 	largeSteps = []step{
-		{order.Trusted, true, 4}, {order.Queued, true, 3}, {order.Trusted, false, 3}, {order.Queued, false, 3}, {order.Any, false, 3},
+		{order.Trusted, true, 4}, {order.Queued, true, 3}, {order.Trusted, false, 2}, {order.Any, true, 2}, {order.Any, false, 1},
 	}
 )
 
@@ -60,11 +63,12 @@
 	dispatch *Dispatch
 	request  *Request
 	ctx      context.Context
+	tries    int // Attempts with those that did not run.
 
 	mu       sync.Mutex
 	used     []netip.AddrPort // Nodes whose backend server it was sent to.
-	attempts int
-	soonest  time.Duration // Least time to come back that a node told; zero if none did.
+	attempts int              // Backend servers that may have run it.
+	soonest  time.Duration    // Least time to come back that a node told; zero if none did.
 }
 
 // outcome is the end of an attempt.
@@ -108,7 +112,8 @@
 // again decides whether another attempt is allowed and can end better. What is
 // told in refusals of nodes has been tried already within an attempt.
 func (s *sending) again(o outcome) bool {
-	if s.ctx.Err() != nil || s.count() >= s.request.Attempts || !s.replayable() {
+	s.tries++
+	if s.ctx.Err() != nil || s.count() >= s.request.Attempts || s.tries >= maxTries || !s.replayable() {
 		return false
 	}
 	worth := false
@@ -161,16 +166,17 @@
 	if !o.Idempotent || s.request.Body != nil || s.count() >= s.request.Attempts-1 {
 		return <-first
 	}
-	timer := time.NewTimer(time.Duration(overduePart * float64(o.Objective)))
+	timer := time.NewTicker(time.Duration(overduePart * float64(o.Objective)))
 	defer timer.Stop()
-	select {
-	case end := <-first:
-		return end
-	case <-timer.C:
-	}
-	// An offer that waits in a queue has not been sent and costs no budget.
-	if s.count() == 0 || !s.dispatch.mayRepeat(o.Service) {
-		return <-first
+	// A request that waits in a queue has not been sent, and one that the budget
+	// does not allow now may be allowed later.
+	for waiting := true; waiting; {
+		select {
+		case end := <-first:
+			return end
+		case <-timer.C:
+			waiting = s.count() == 0 || !s.dispatch.mayRepeat(o.Service)
+		}
 	}
 	s.log("hedge", outcome{}, true)
 	for _, to := range s.excluded() {
@@ -328,6 +334,12 @@
 		s.mu.Unlock()
 		return !r.Sent || s.replayable()
 	}
+	if f.Kind.NotRun() && r.Sent {
+		// Only backend servers that may have run it count as attempts.
+		s.mu.Lock()
+		s.attempts--
+		s.mu.Unlock()
+	}
 	e := s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Stringer("To", to).Str("Kind", f.Kind.String()).
 		Uint32("Level", uint32(level)).Bool("Sent", r.Sent).Err(f.Err)
 	if r.Load != nil {
--- a/internal/request/allowance/allowance.go
+++ b/internal/request/allowance/allowance.go
@@ -15,54 +15,62 @@
 
 const (
 	// kept is the part of the bounds that is used; the rest covers nodes that
-	// disagree on how many they are.
+	// disagree on how many they are, and windows that end between two nodes'.
 	kept = 0.85
 
-	// atOnce is the part of a node's reserve that it may use in an instant; the
-	// rest refills over a window.
-	atOnce = 0.6
+	// slices is the number of parts of a window that are counted apart.
+	slices = 50
 )
 
-// Allowance is that of one node for one service. Its zero value is full. It is
-// not safe for use by several goroutines at once.
+// Allowance is that of one node for one service. Its zero value has seen no
+// request. It is not safe for use by several goroutines at once.
+//
+// Each node keeps its own requests and its part of the reserve to the bounds in
+// every window that ends with a repeat. The sum over all nodes then keeps to them
+// as well.
 type Allowance struct {
-	tokens float64
-	at     time.Time
+	counts  [slices]count
+	current int64 // Number of the slice that counts now.
+}
+
+// count is what a slice of time saw.
+type count struct {
+	requests int
+	repeats  int
 }
 
 // Request notes a request that is sent for the first time.
 func (a *Allowance) Request(now time.Time, t Terms) {
-	a.refill(now, t)
-	a.tokens = min(a.tokens+kept*t.Ratio, a.most(t))
+	a.advance(now, t).requests++
 }
 
 // Repeat reports whether a request may be sent to another backend server, and
 // counts it if so.
 func (a *Allowance) Repeat(now time.Time, t Terms) bool {
-	a.refill(now, t)
-	if a.tokens < 1 {
+	c := a.advance(now, t)
+	var sum count
+	for _, s := range a.counts {
+		sum.requests += s.requests
+		sum.repeats += s.repeats
+	}
+	// A node has room for at least one, or it could never repeat a request while
+	// the reserve is small.
+	most := max(kept*(t.Ratio*float64(sum.requests)+t.Reserve/float64(max(t.Nodes, 1))), 1)
+	if float64(sum.repeats+1) > most {
 		return false
 	}
-	a.tokens--
+	c.repeats++
 	return true
 }
 
-// most returns the greatest number of tokens. A node has room for at least one,
-// or it could never repeat a request.
-func (a *Allowance) most(t Terms) float64 {
-	return max(kept*atOnce*t.Reserve/float64(max(t.Nodes, 1)), 1)
-}
-
-func (a *Allowance) refill(now time.Time, t Terms) {
-	if a.at.IsZero() {
-		a.at, a.tokens = now, a.most(t)
-		return
-	}
-	elapsed := now.Sub(a.at)
-	if elapsed <= 0 || t.Window <= 0 {
-		return
+// advance empties the slices that have left the window and returns the present
+// one.
+func (a *Allowance) advance(now time.Time, t Terms) *count {
+	length := max(t.Window/slices, time.Millisecond)
+	number := now.UnixNano() / int64(length)
+	for n := max(a.current+1, number-slices+1); n <= number; n++ {
+		a.counts[n%slices] = count{}
 	}
-	a.at = now
-	perWindow := kept * (1 - atOnce) * t.Reserve / float64(max(t.Nodes, 1))
-	a.tokens = min(a.tokens+perWindow*elapsed.Seconds()/t.Window.Seconds(), a.most(t))
+	a.current = max(a.current, number)
+	return &a.counts[a.current%slices]
 }
--- a/internal/request/allowance/allowance_test.go
+++ b/internal/request/allowance/allowance_test.go
@@ -9,13 +9,38 @@
 	"filbertturn.example/filbertturn/internal/request/allowance"
 )
 
+// TestAllowance_Repeat_burst answers a service that begins to hang after a quiet
+// time: a node may then use at once what its requests of the window allow.
+func TestAllowance_Repeat_burst(t *testing.T) {
+	terms := allowance.Terms{Ratio: 0.2, Reserve: 60, Window: 10 * time.Second, Nodes: 30}
+	var a allowance.Allowance
+	now := time.Unix(1000, 0)
+	for range 30 {
+		now = now.Add(300 * time.Millisecond)
+		a.Request(now, terms)
+	}
+	got := 0
+	for a.Repeat(now, terms) {
+		got++
+	}
+	if got < 5 || got > 8 {
+		t.Errorf("got %d repeats at once after 30 requests, want 5 to 8", got)
+	}
+	if a.Repeat(now.Add(5*time.Second), terms) {
+		t.Error("got another repeat within the window, want none")
+	}
+	if !a.Repeat(now.Add(11*time.Second), terms) {
+		t.Error("got no repeat after the window, want one")
+	}
+}
+
 // TestAllowance_Repeat plays nodes that repeat whenever they may, and checks
 // that no window holds more repeats than the bounds of the service.
 func TestAllowance_Repeat(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		terms := allowance.Terms{Ratio: 0.2, Reserve: 60, Window: 10 * time.Second, Nodes: rapid.IntRange(1, 40).Draw(t, "nodes")}
 		nodes := make([]allowance.Allowance, terms.Nodes)
-		start := time.Unix(0, 0)
+		start := time.Unix(1000, 0)
 		var requests, repeats []time.Time
 		now := start
 		for range 2000 {
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -40,6 +40,10 @@
 	firstPause = 500 * time.Millisecond
 	maxPause   = 8 * time.Second
 
+	// fullTime is the time for which a node that was full is not offered what
+	// must not wait.
+	fullTime = 300 * time.Millisecond
+
 	// askAgain is the time after which a node that served nothing is asked again.
 	askAgain = 2 * time.Second
 )
@@ -56,6 +60,7 @@
 	Service    string
 	DataCentre string // Where the request is.
 	Near       bool   // Only nodes of that data centre.
+	Free       bool   // Only nodes that were not full a moment ago.
 	Unsure     bool   // Ways that failed lately may be tried.
 	Exclude    []netip.AddrPort
 	Random     float64 // From 0 to 1.
@@ -150,6 +155,9 @@
 		if c.node.Service != w.Service || w.Near && c.node.DataCentre != w.DataCentre || slices.Contains(w.Exclude, a) || !w.Unsure && now.Before(c.avoided) {
 			continue
 		}
+		if w.Free && c.full() && now.Sub(c.heard) < fullTime {
+			continue
+		}
 		if !c.load.Serving && !c.heard.IsZero() && now.Sub(c.heard) < askAgain {
 			continue
 		}
@@ -195,6 +203,11 @@
 	return cost
 }
 
+// full tells whether all slots were taken when the node was heard.
+func (c *candidate) full() bool {
+	return c.load.Slots > 0 && c.load.Running+c.load.Waiting >= c.load.Slots
+}
+
 // fresh tells how much of what was heard still counts, from 1 to 0.
 func (c *candidate) fresh(now time.Time) float64 {
 	return max(0, 1-float64(now.Sub(c.heard))/float64(memory))
