Estimate suspicion by the answers that are due

Ruled out: queues, which were empty.

Evidence now grows with the number of answers that a good backend server would have given meanwhile, and falls with each answer, for any number of slots; TestSuspicion_Value plays 1 to 20 slots, busy and hanging. A backend server that no connection reaches is out of service until its next heartbeat.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -22,7 +22,7 @@
 	// firstTrialPause and maxTrialPause bound the time between two such requests
 	// while they fail. It doubles with each failure.
 	firstTrialPause = 500 * time.Millisecond
-	maxTrialPause   = 4 * time.Second
+	maxTrialPause   = 1500 * time.Millisecond
 
 	// overdueFactor times the mean time of a route's answers is the age at which
 	// a request counts as hanging.
@@ -115,6 +115,7 @@
 	suspicion suspicion.Suspicion
 	hold      time.Duration // Mean time that a request holds its slot.
 	means     map[string]*mean
+	observed  time.Time // Until when suspicion has seen the requests that run.
 	nextTrial time.Time
 	failures  int // Trials in a row that failed.
 }
@@ -158,11 +159,22 @@
 
 // failing returns the likelihood that the next request fails.
 func (d *Desk) failing(now time.Time) float64 {
-	ages := make([]float64, 0, len(d.running))
+	d.observe(now)
+	return d.suspicion.Value(now)
+}
+
+// observe takes in how long the requests that run have not ended.
+func (d *Desk) observe(now time.Time) {
+	expected := 0.0
 	for _, r := range d.running {
-		ages = append(ages, float64(now.Sub(r.started))/float64(d.usual(r.ticket)))
+		usual := float64(d.usual(r.ticket))
+		from := max(d.observed.Sub(r.started), 0)
+		expected += suspicion.Expected(float64(from)/usual, float64(now.Sub(r.started))/usual)
+	}
+	if now.After(d.observed) {
+		d.observed = now
 	}
-	return d.suspicion.Value(now, ages...)
+	d.suspicion.Waited(now, max(expected, 0))
 }
 
 // Enter asks for a slot.
@@ -305,43 +317,37 @@
 		d.waiting = slices.DeleteFunc(d.waiting, func(t Ticket) bool { return t.ID == id })
 		return nil
 	}
+	d.observe(now)
 	delete(d.running, id)
 	took := now.Sub(r.started)
 	switch o {
 	case Answered:
 		d.answered(r, took)
-		if !r.overdue {
-			d.suspicion.Good(now)
-		}
+		d.suspicion.Good(now)
 		if r.trial {
 			d.failures, d.nextTrial = 0, now
 		}
 	case Failed:
-		d.bad(now, r)
+		// How long it ran has counted already.
+		if !r.overdue {
+			d.suspicion.Bad(now)
+		}
+		d.trialFailed(r)
 	case Abandoned:
-		// An entry gives up what takes long and got its answer elsewhere.
-		if r.overdue || took >= d.slowAge(r.ticket) {
-			d.bad(now, r)
+		if r.overdue {
+			d.trialFailed(r)
 		}
 	case Refused:
 	}
 	return d.fill(now, d.Tick(now))
 }
 
-// bad notes a request that failed or hung.
-func (d *Desk) bad(now time.Time, r *run) {
-	d.suspicion.Bad(now)
+func (d *Desk) trialFailed(r *run) {
 	if r.trial {
 		d.failures++
 	}
 }
 
-// slowAge is the age from which a request that was given up counts against the
-// backend server.
-func (d *Desk) slowAge(t Ticket) time.Duration {
-	return d.overdueAge(t) * 2 / 3
-}
-
 func (d *Desk) answered(r *run, took time.Duration) {
 	d.hold = smooth(d.holdTime(), took)
 	if d.means == nil {
--- a/internal/health/suspicion/suspicion.go
+++ b/internal/health/suspicion/suspicion.go
@@ -1,5 +1,5 @@
 // Package suspicion estimates how likely a backend server fails the next
-// request, from the ends of its latest ones and from those that still run.
+// request, from how its latest ones ended and from how long it has ended none.
 package suspicion
 
 import (
@@ -10,10 +10,12 @@
 // Logarithms of odds. Evidence adds to them.
 const (
 	base    = -2.9 // Odds of a backend server of which nothing is known: one in nineteen.
-	relief  = 1.0  // What one good answer takes off.
-	lowest  = -1.1 // Least sum: a failure may have begun just now, whatever came before.
-	step    = 3.2  // What one failure adds.
+	lowest  = -1.8 // Least sum: a failure may have begun just now, whatever came before.
 	highest = 6.0  // Greatest sum.
+
+	// failure is what an error adds: a failing backend server answers half of its
+	// requests so, and others about one in twelve, mostly for calls that failed.
+	failure = 1.8
 )
 
 const (
@@ -29,6 +31,10 @@
 	ageExponent = 1.5
 )
 
+// relief is what a good answer takes off: it is rarer from a backend server that
+// hangs.
+var relief = -math.Log(1 - hangPart)
+
 // Suspicion is that of one backend server. Its zero value knows nothing. It is
 // not safe for use by several goroutines at once.
 type Suspicion struct {
@@ -36,6 +42,13 @@
 	at  time.Time
 }
 
+// Waited takes in that requests were running and did not end. The expected
+// number of those that a good backend server would have ended meanwhile is the
+// sum of what Expected gives for each of them.
+func (s *Suspicion) Waited(now time.Time, expected float64) {
+	s.sum, s.at = min(s.evidence(now)+hangPart*expected, highest), now
+}
+
 // Good notes an answer.
 func (s *Suspicion) Good(now time.Time) {
 	s.sum, s.at = max(s.evidence(now)-relief, lowest), now
@@ -43,7 +56,7 @@
 
 // Bad notes a failure.
 func (s *Suspicion) Bad(now time.Time) {
-	s.sum, s.at = min(s.evidence(now)+step, highest), now
+	s.sum, s.at = min(s.evidence(now)+failure, highest), now
 }
 
 func (s *Suspicion) evidence(now time.Time) float64 {
@@ -54,22 +67,17 @@
 	return s.sum * math.Exp2(-age.Seconds()/halfLife.Seconds())
 }
 
-// Value returns the estimate, from 0 to 1, given the ages of the requests that
-// still run as parts of the time that they usually take.
-func (s *Suspicion) Value(now time.Time, ages ...float64) float64 {
-	odds := base + s.evidence(now)
-	for _, a := range ages {
-		odds += running(a)
-	}
-	return 1 / (1 + math.Exp(-odds))
+// Value returns the estimate, from 0 to 1.
+func (s *Suspicion) Value(now time.Time) float64 {
+	return 1 / (1 + math.Exp(-base-s.evidence(now)))
 }
 
-// running is the evidence of a request that still runs after a part of its usual
-// time.
-func running(age float64) float64 {
-	if age <= 0 {
-		return 0
-	}
-	healthy := math.Exp(-math.Pow(age, ageExponent)) // Part of good requests that take longer.
-	return math.Log((hangPart + (1-hangPart)*healthy) / max(healthy, 1e-6))
+// Expected returns how often a good backend server would have ended a request
+// between two ages, given as parts of the time that it usually takes.
+func Expected(from, to float64) float64 {
+	return hazard(to) - hazard(from)
+}
+
+func hazard(age float64) float64 {
+	return math.Pow(max(age, 0), ageExponent)
 }
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -63,6 +64,7 @@
 	dispatch *Dispatch
 	request  *Request
 	ctx      context.Context
+	told     string
 	tries    int // Attempts with those that did not run.
 
 	mu       sync.Mutex
@@ -269,11 +271,20 @@
 				break
 			}
 			refused[p.level] = append(refused[p.level], to)
+			if len(plan) == len(largeSteps) && isLarge(&s.request.Order) && !p.near {
+				s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Stringer("To", to).Uint32("Level", uint32(p.level)).
+					Int64("Bytes", s.request.Order.ContentLength).Str("NearRefused", s.told).Msg("body is offered to another data centre")
+			}
 			reply := s.offer(ctx, to, p.level)
 			if reply.Err == nil {
 				return gather(ctx, reply.Answer, s.request.Order.Method)
 			}
 			last = reply.Err
+			if reply.Load != nil {
+				s.told += fmt.Sprintf("%d:%.2f:%d+%d/%d ", p.level, reply.Load.Failing, reply.Load.Running, reply.Load.Waiting, reply.Load.Slots)
+			} else {
+				s.told += fmt.Sprintf("%d:%s ", p.level, failure.From(reply.Err).Kind)
+			}
 			if !s.elsewhere(to, p.level, reply) {
 				return nil, reply.Err
 			}
--- a/internal/node/host/execution.go
+++ b/internal/node/host/execution.go
@@ -63,8 +63,12 @@
 	if err != nil {
 		f := failure.From(err)
 		x.end(outcomeOf(f))
-		if f.Kind == kind.OtherIncarnation {
+		switch f.Kind {
+		case kind.OtherIncarnation:
 			x.host.evict(x.instance)
+		case kind.UnreachableBackendServer:
+			x.host.suspend(x.instance, f)
+		default:
 		}
 		f.BackendServer = x.host.Address
 		return nil, f
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -319,6 +319,19 @@
 	h.deliver(h.desk.Leave(time.Now(), id, o))
 }
 
+// suspend takes an incarnation out of service that no connection reaches, until
+// its next heartbeat.
+func (h *Host) suspend(instance string, cause error) {
+	h.mu.Lock()
+	serving := h.desk.Load(time.Now()).Serving
+	h.deliver(h.desk.Close())
+	h.mu.Unlock()
+	if serving {
+		h.Log.Warn().Err(cause).Str("Instance", instance).Msg("backend server cannot be reached; its next heartbeat counts")
+		h.Changed()
+	}
+}
+
 // evict takes an incarnation out of service whose address answered for another.
 func (h *Host) evict(instance string) {
 	h.mu.Lock()
