Let what can be in time go first, and nested requests give up early

The queue starts first what can still be answered within its objective; a nested request waits for at most twice its objective, then its caller is told.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -58,6 +58,8 @@
 	Idempotent bool
 	Level      order.Level
 	Deadline   time.Time     // Time at which its answer is worth nothing.
+	Due        time.Time     // Time until which it is worth most.
+	Patience   time.Time     // Time until which it may wait.
 	Objective  time.Duration // Time within which an answer is worth most.
 }
 
@@ -111,7 +113,7 @@
 	slots     int
 	open      bool
 	running   map[uint64]*run
-	waiting   []Ticket // In the order in which they start.
+	waiting   []Ticket
 	suspicion suspicion.Suspicion
 	hold      time.Duration // Mean time that a request holds its slot.
 	means     map[string]*mean
@@ -220,33 +222,49 @@
 // queue lets t wait if it can still be answered in time. A full queue gives up
 // the ticket that would start last.
 func (d *Desk) queue(now time.Time, t Ticket) []Effect {
-	at, _ := slices.BinarySearchFunc(d.waiting, t, compare)
-	if d.moving() == 0 || now.Add(d.wait(at)+d.expected(t.Route)).After(t.Deadline) {
+	place := 0
+	last := -1
+	for i, w := range d.waiting {
+		if d.before(now, w, t) {
+			place++
+		}
+		if last < 0 || d.before(now, d.waiting[last], w) {
+			last = i
+		}
+	}
+	if start := now.Add(d.wait(place)); d.moving() == 0 || !d.inTime(start, t) {
 		return []Effect{d.refuse(t)}
 	}
 	var effects []Effect
 	if len(d.waiting) >= maxWaitingPerSlot*d.slots {
-		if at == len(d.waiting) {
+		if !d.before(now, t, d.waiting[last]) {
 			return []Effect{d.refuse(t)}
 		}
-		last := len(d.waiting) - 1
 		effects = append(effects, d.refuse(d.waiting[last]))
-		d.waiting = d.waiting[:last]
+		d.waiting = slices.Delete(d.waiting, last, last+1)
 	}
-	d.waiting = slices.Insert(d.waiting, at, t)
+	d.waiting = append(d.waiting, t)
 	return append(effects, Wait{ID: t.ID})
 }
 
-// compare orders the queue: requests that a backend server waits for first, as
-// it holds a slot meanwhile, then by priority and by deadline.
-func compare(a, b Ticket) int {
+// inTime tells whether t can be answered in time if it starts then.
+func (d *Desk) inTime(start time.Time, t Ticket) bool {
+	return !start.After(t.Patience) && !start.Add(d.expected(t.Route)).After(t.Deadline)
+}
+
+// before orders the queue: first what can still be answered while it is worth
+// most, so that an overload does not make all late; then what a backend server
+// waits for, as it holds a slot meanwhile; then by priority and by the time it is
+// due.
+func (d *Desk) before(now time.Time, a, b Ticket) bool {
+	late := func(t Ticket) bool { return now.Add(d.expected(t.Route)).After(t.Due) }
+	if la, lb := late(a), late(b); la != lb {
+		return lb
+	}
 	if a.Nested != b.Nested {
-		if a.Nested {
-			return -1
-		}
-		return 1
+		return a.Nested
 	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Deadline.Compare(b.Deadline), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Due.Compare(b.Due), cmp.Compare(a.ID, b.ID)) < 0
 }
 
 // wait is the time after which the ticket at a place of the queue is expected
@@ -378,8 +396,7 @@
 	}
 	stuck := d.moving() == 0
 	return d.turnAway(func(t Ticket) bool {
-		late := now.Add(d.expected(t.Route)).After(t.Deadline)
-		return late || stuck || hangs && t.Level < order.Any
+		return !d.inTime(now, t) || stuck || hangs && t.Level < order.Any
 	})
 }
 
@@ -398,6 +415,7 @@
 	}
 	for _, t := range d.waiting {
 		sooner(t.Deadline.Add(-d.expected(t.Route)))
+		sooner(t.Patience)
 	}
 	return next
 }
@@ -416,8 +434,14 @@
 
 func (d *Desk) fill(now time.Time, effects []Effect) []Effect {
 	for d.open && len(d.waiting) > 0 && len(d.running) < d.slots {
-		t := d.waiting[0]
-		d.waiting = slices.Delete(d.waiting, 0, 1)
+		first := 0
+		for i := range d.waiting {
+			if d.before(now, d.waiting[i], d.waiting[first]) {
+				first = i
+			}
+		}
+		t := d.waiting[first]
+		d.waiting = slices.Delete(d.waiting, first, first+1)
 		effects = append(effects, d.start(now, t, false))
 	}
 	return effects
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -17,7 +17,10 @@
 
 // ticket is a request on a route with an objective of 200 ms.
 func ticket(id uint64, level order.Level) booking.Ticket {
-	return booking.Ticket{ID: id, Route: "r", Level: level, Deadline: at(time.Minute), Objective: 200 * time.Millisecond}
+	return booking.Ticket{
+		ID: id, Route: "r", Level: level, Deadline: at(time.Minute), Due: at(time.Minute), Patience: at(time.Minute),
+		Objective: 200 * time.Millisecond,
+	}
 }
 
 // describe returns the effects as text.
@@ -106,7 +109,7 @@
 }
 
 // TestDesk_Enter_order answers a burst: what a backend server waits for starts
-// first, then by priority and by deadline.
+// first, then by priority and by the time it is due.
 func TestDesk_Enter_order(t *testing.T) {
 	d := open(1)
 	expect(t, "runs", d.Enter(at(0), ticket(1, order.Queued)), "start 1;")
@@ -114,7 +117,7 @@
 	late.Priority, urgent.Priority, nested.Priority = 2, 1, 5
 	nested.Nested = true
 	soon := late
-	soon.ID, soon.Deadline = 5, late.Deadline.Add(-time.Second)
+	soon.ID, soon.Due = 5, late.Due.Add(-time.Second)
 	for _, w := range []booking.Ticket{late, urgent, nested, soon} {
 		expect(t, "waits", d.Enter(at(0), w), fmt.Sprintf("wait %d;", w.ID))
 	}
@@ -214,3 +217,27 @@
 	expect(t, "a fresh request", d.Enter(at(20*time.Millisecond), ticket(2, order.Trusted)), "start 2;")
 	expect(t, "three times the usual time later", d.Enter(at(150*time.Millisecond), ticket(3, order.Trusted)), "refuse 3;")
 }
+
+// TestDesk_Enter_overload answers an overload that lasts: what can still be
+// answered while it is worth most goes before what is late, or all would be late.
+func TestDesk_Enter_overload(t *testing.T) {
+	d := open(1)
+	d.Enter(at(0), ticket(1, order.Queued))
+	old, fresh := ticket(2, order.Queued), ticket(3, order.Queued)
+	old.Due, fresh.Due = at(60*time.Millisecond), at(300*time.Millisecond)
+	d.Enter(at(0), old)
+	d.Enter(at(40*time.Millisecond), fresh)
+	expect(t, "next", d.Leave(at(50*time.Millisecond), 1, booking.Answered), "start 3;")
+	expect(t, "with room left", d.Leave(at(100*time.Millisecond), 3, booking.Answered), "start 2;")
+}
+
+// TestDesk_Enter_patience answers a service that others wait for: a nested
+// request gives up its wait before the slot that waits for it is lost as well.
+func TestDesk_Enter_patience(t *testing.T) {
+	d := open(1)
+	d.Enter(at(0), ticket(1, order.Any))
+	w := ticket(2, order.Any)
+	w.Nested, w.Patience = true, at(80*time.Millisecond)
+	expect(t, "waits", d.Enter(at(0), w), "wait 2;")
+	expect(t, "gives up", d.Tick(at(90*time.Millisecond)), "refuse 2;")
+}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -235,7 +235,7 @@
 	}
 	h.deliver(h.desk.Enter(now, booking.Ticket{
 		ID: id, Route: o.Route, Priority: o.Priority, Nested: o.Nested, Idempotent: o.Idempotent,
-		Level: o.Level, Deadline: o.Deadline, Objective: o.Objective,
+		Level: o.Level, Deadline: o.Deadline, Due: o.Due, Patience: o.Patience, Objective: o.Objective,
 	}))
 	return id, wait
 }
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -33,6 +33,11 @@
 // objectivePart of its timeout is the objective of a route that has none.
 const objectivePart = 0.25
 
+// nestedPatience times its objective is the longest that a nested request waits
+// for a slot. The backend server that waits for it holds a slot of its own, and is
+// late by then.
+const nestedPatience = 2
+
 // Limiter admits requests of customers.
 type Limiter interface {
 	Admit(ctx context.Context, customer string) error
@@ -204,6 +209,11 @@
 	if p.request.Order.Objective <= 0 {
 		p.request.Order.Objective = time.Duration(objectivePart * float64(p.deadline.Sub(p.started)))
 	}
+	o := &p.request.Order
+	o.Due, o.Patience = p.started.Add(o.Objective), p.deadline
+	if o.Nested {
+		o.Patience = p.started.Add(nestedPatience * o.Objective)
+	}
 	if p.http.ContentLength != 0 {
 		p.request.Body = replay.New(p.http.Body)
 	}
--- a/internal/peer/courier/accept.go
+++ b/internal/peer/courier/accept.go
@@ -92,6 +92,8 @@
 		Service:       head.GetService(),
 		CallerService: head.GetCallerService(),
 		Deadline:      deadline,
+		Due:           time.Now().Add(time.Duration(head.GetDueNanos())),
+		Patience:      time.Now().Add(time.Duration(head.GetPatienceNanos())),
 		Objective:     time.Duration(head.GetObjectiveNanos()),
 		Priority:      int(head.GetPriority()),
 		Nested:        head.GetNested(),
--- a/internal/peer/courier/offer.go
+++ b/internal/peer/courier/offer.go
@@ -266,6 +266,8 @@
 		Nested:         o.Nested,
 		Idempotent:     o.Idempotent,
 		ObjectiveNanos: int64(o.Objective),
+		DueNanos:       int64(time.Until(o.Due)),
+		PatienceNanos:  int64(time.Until(o.Patience)),
 	}
 }
 
--- a/internal/request/order/order.go
+++ b/internal/request/order/order.go
@@ -32,6 +32,8 @@
 	Service       string // Service that is to run it.
 	CallerService string // Service of the VM that the request began at.
 	Deadline      time.Time
+	Due           time.Time     // Until when an answer is worth most.
+	Patience      time.Time     // Until when it may wait for a slot.
 	Objective     time.Duration // Time within which an answer is worth most.
 	Priority      int           // 0 goes first.
 	Nested        bool          // A backend server waits for it and holds a slot meanwhile.
