--- /dev/null
+++ b/internal/admin/command/explain.go
@@ -0,0 +1,121 @@
+package command
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// maxLogLine is the longest log line that is read, in bytes.
+const maxLogLine = 1 << 20
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID",
+		Short: "Show a request's way from the log lines on standard input",
+		Long: "Show a request's way from the log lines on standard input.\n\n" +
+			"The lines may come from all nodes, mixed and out of order, and may have text before the JSON object.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return explainRequest(c.OutOrStdout(), c.InOrStdin(), args[0])
+		},
+	}
+}
+
+// logLine is one line about a request.
+type logLine struct {
+	at     time.Time
+	node   string
+	text   string
+	fields map[string]any
+}
+
+// explainRequest prints the lines about a request in the order of their times.
+func explainRequest(out io.Writer, in io.Reader, id string) error {
+	lines, dropped, err := readLog(in, id)
+	if err != nil {
+		return &Exit{Code: ExitFailure, Err: err}
+	}
+	if dropped > 0 {
+		_, _ = fmt.Fprintf(out, "%d log lines were dropped by the nodes; some of this request's may be missing\n", dropped)
+	}
+	if len(lines) == 0 {
+		return &Exit{Code: ExitFailure, Err: fmt.Errorf("no log line names request %q: it was answered within its objective, or its node's log is missing", id)}
+	}
+	ended := false
+	for _, l := range lines {
+		_, _ = fmt.Fprintf(out, "%s %s: %s%s\n", l.at.Format("15:04:05.000"), l.node, l.text, describeFields(l.fields))
+		ended = ended || l.text == "request ended"
+	}
+	if !ended {
+		_, _ = fmt.Fprintln(out, "the end is missing: the request still runs, was answered within its objective, or its entry's log is missing")
+	}
+	return nil
+}
+
+// readLog returns the lines about a request, sorted, and the number of lines
+// that nodes dropped.
+func readLog(in io.Reader, id string) ([]logLine, int, error) {
+	var lines []logLine
+	dropped := 0
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		start := strings.IndexByte(s.Text(), '{')
+		if start < 0 {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal(s.Bytes()[start:], &fields) != nil {
+			continue
+		}
+		if fields["Message"] == "log lines dropped" {
+			if n, ok := fields["Count"].(float64); ok {
+				dropped += int(n)
+			}
+		}
+		if fields["RequestID"] != id {
+			continue
+		}
+		l := logLine{fields: fields}
+		l.node, _ = fields["Node"].(string)
+		l.text, _ = fields["Message"].(string)
+		if text, ok := fields["Time"].(string); ok {
+			// A line without a readable time is printed first.
+			l.at, _ = time.Parse(time.RFC3339Nano, text)
+		}
+		lines = append(lines, l)
+	}
+	if errors.Is(s.Err(), bufio.ErrTooLong) {
+		return nil, 0, fmt.Errorf("a log line is longer than %d bytes", maxLogLine)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return lines, dropped, s.Err()
+}
+
+// describeFields returns the fields that a reader has not seen yet, by name.
+func describeFields(fields map[string]any) string {
+	var names []string
+	for name := range fields {
+		switch name {
+		case "Node", "Message", "Time", "Level", "RequestID":
+		default:
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for _, name := range names {
+		if fields[name] != "" {
+			_, _ = fmt.Fprintf(&b, " %s=%v", name, fields[name])
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/node/dispatch/refusals.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+// refusals is the cause of a request that no node took: what each of them said.
+type refusals struct {
+	lines []string
+}
+
+// add notes the end of an offer.
+func (r *refusals) add(to netip.AddrPort, level order.Level, reply courier.Reply) {
+	line := fmt.Sprintf("%s level %d: %s", to, level, failure.From(reply.Err).Kind)
+	if l := reply.Load; l != nil {
+		line += fmt.Sprintf(", serving %t, %d+%d of %d slots, failing %.2f", l.Serving, l.Running, l.Waiting, l.Slots, l.Failing)
+	}
+	r.lines = append(r.lines, line)
+}
+
+// Error implements the error interface.
+func (r *refusals) Error() string {
+	return strings.Join(r.lines, "; ")
+}
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -64,7 +63,6 @@
 	dispatch *Dispatch
 	request  *Request
 	ctx      context.Context
-	told     string
 	tries    int // Attempts with those that did not run.
 
 	mu       sync.Mutex
@@ -261,6 +259,7 @@
 	}
 	refused := make(map[order.Level][]netip.AddrPort)
 	var last error
+	var told refusals
 	for _, p := range plan {
 		for range p.offers {
 			if ctx.Err() != nil {
@@ -271,29 +270,23 @@
 				break
 			}
 			refused[p.level] = append(refused[p.level], to)
-			if len(plan) == len(largeSteps) && isLarge(&s.request.Order) && !p.near {
-				s.dispatch.Log.Info().Str("RequestID", s.request.Order.ID).Stringer("To", to).Uint32("Level", uint32(p.level)).
-					Int64("Bytes", s.request.Order.ContentLength).Str("NearRefused", s.told).Msg("body is offered to another data centre")
-			}
 			reply := s.offer(ctx, to, p.level)
 			if reply.Err == nil {
 				return gather(ctx, reply.Answer, s.request.Order.Method)
 			}
 			last = reply.Err
-			if reply.Load != nil {
-				s.told += fmt.Sprintf("%d:%.2f:%d+%d/%d ", p.level, reply.Load.Failing, reply.Load.Running, reply.Load.Waiting, reply.Load.Slots)
-			} else {
-				s.told += fmt.Sprintf("%d:%s ", p.level, failure.From(reply.Err).Kind)
-			}
+			told.add(to, p.level, reply)
 			if !s.elsewhere(to, p.level, reply) {
 				return nil, reply.Err
 			}
 		}
 	}
 	if last == nil {
-		last = failure.New(kind.NoCapacity, "no backend server of the service is known", nil)
+		return nil, failure.New(kind.NoCapacity, "no backend server of the service is known", nil)
 	}
-	return nil, last
+	f := failure.From(last)
+	f.Err = &told
+	return nil, f
 }
 
 func (s *sending) excluded() []netip.AddrPort {
--- a/internal/node/host/execution.go
+++ b/internal/node/host/execution.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -63,6 +64,10 @@
 	if err != nil {
 		f := failure.From(err)
 		x.end(outcomeOf(f))
+		load := x.host.Load(time.Now())
+		x.host.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Kind", f.Kind.String()).
+			Dur("Remaining", remaining).Float64("Failing", math.Round(load.Failing*100)/100).Int("Running", load.Running).
+			Err(f.Err).Msg("run failed")
 		switch f.Kind {
 		case kind.OtherIncarnation:
 			x.host.evict(x.instance)
