--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -58,23 +58,23 @@
 }
 
 // Announce takes in a heartbeat of the backend server.
-func (h *Host) Announce(now time.Time, a tenure.Announcement) {
+func (h *Host) Announce(a tenure.Announcement) {
 	if a.Address != h.Address {
 		h.Log.Warn().Stringer("Address", a.Address).Str("Instance", a.Instance).Msg("heartbeat names another address and is ignored")
 		return
 	}
 	h.mu.Lock()
 	effect := h.tenure.Announce(a)
-	h.apply(now, effect)
+	h.apply(effect)
 	h.mu.Unlock()
 	h.tell(effect)
 }
 
 // Deregister takes in the word of the backend server that it leaves.
-func (h *Host) Deregister(now time.Time, instance string, born time.Time) {
+func (h *Host) Deregister(instance string, born time.Time) {
 	h.mu.Lock()
 	effect := h.tenure.Deregister(instance, born)
-	h.apply(now, effect)
+	h.apply(effect)
 	h.mu.Unlock()
 	h.tell(effect)
 }
@@ -97,7 +97,7 @@
 }
 
 // apply carries out an effect. It is called with the lock.
-func (h *Host) apply(now time.Time, effect tenure.Effect) {
+func (h *Host) apply(effect tenure.Effect) {
 	switch effect.(type) {
 	case tenure.Entered:
 		h.deliver(h.desk.Close())
@@ -189,7 +189,7 @@
 }
 
 // Close refuses requests from now on. Those under way go on.
-func (h *Host) Close(now time.Time) {
+func (h *Host) Close() {
 	h.mu.Lock()
 	h.closing = true
 	h.deliver(h.desk.Close())
--- a/internal/node/sidecar/port.go
+++ b/internal/node/sidecar/port.go
@@ -8,6 +8,6 @@
 
 // BackendServer takes in what the backend server beside the node says of itself.
 type BackendServer interface {
-	Announce(now time.Time, a tenure.Announcement)
-	Deregister(now time.Time, instance string, born time.Time)
+	Announce(a tenure.Announcement)
+	Deregister(instance string, born time.Time)
 }
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -283,7 +283,7 @@
 		}
 	}()
 	c.closing.Store(true)
-	c.host.Close(time.Now())
+	c.host.Close()
 	c.discovery.Leave(ctx)
 	sleep(ctx, noticeTime)
 	for c.host.Active() > 0 && ctx.Err() == nil {
