Refuse a request that has not started within its objective

Ruled out: nested requests, which give up already.

A request waits for a slot until its objective; what has a slot by then runs on.

--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -210,7 +210,8 @@
 		p.request.Order.Objective = time.Duration(objectivePart * float64(p.deadline.Sub(p.started)))
 	}
 	o := &p.request.Order
-	o.Due, o.Patience = p.started.Add(o.Objective), p.deadline
+	o.Due = p.started.Add(o.Objective)
+	o.Patience = o.Due
 	if o.Nested {
 		o.Patience = p.started.Add(nestedPatience * o.Objective)
 	}
