Forget a node that is gone after two reads of the records

A home that does not answer makes the node read the records, at most every 3 s; a record that two such reads lack is of a node that is gone. Leases last 6 s.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -30,14 +30,18 @@
 const Prefix = "filbertturn/nodes/"
 
 const (
-	recordTTL = 10 * time.Second
+	recordTTL = 6 * time.Second // Three renewals.
 	renewal   = 2 * time.Second // Time between two renewals of the record's lease.
 	callTime  = 1500 * time.Millisecond
 	review    = 10 * time.Second // Time between two reads of all records.
 	askTime   = time.Second      // Time in which a node must answer an introduction.
 	askTries  = 5                // Introductions of a change to one node.
 	askPause  = 700 * time.Millisecond
-	silence   = 20 * time.Second // Time after which a node without a record is forgotten.
+
+	// doubtPause is the least time between two reads for the sake of nodes that
+	// do not answer. A record that lapsed while the store was away is back within
+	// two seconds of its return, so that one which two such reads lack is gone.
+	doubtPause = 3 * time.Second
 )
 
 // Record is what a node writes about itself.
@@ -73,16 +77,17 @@
 	leaving  atomic.Bool
 	joined   atomic.Bool
 
-	mu    sync.Mutex
-	known map[netip.AddrPort]*peer
-	lease int64
+	mu      sync.Mutex
+	known   map[netip.AddrPort]*peer
+	lease   int64
+	doubted time.Time // Time of the last read for the sake of a node that does not answer.
 }
 
 // peer is a node that is known.
 type peer struct {
 	presence Presence
 	heard    time.Time
-	missing  int // Reads of all records in a row that lacked it.
+	missing  time.Time // Time of the first of the reads of all records, up to the last, that lacked it.
 }
 
 // Joined reports whether the records of the other nodes were read.
@@ -132,7 +137,7 @@
 	for ctx.Err() == nil {
 		err := d.register(ctx)
 		if err == nil {
-			err = d.read(ctx, false)
+			err = d.read(ctx, time.Now(), false)
 		}
 		if err == nil {
 			d.joined.Store(true)
@@ -189,13 +194,38 @@
 	if !d.Joined() || d.leaving.Load() {
 		return
 	}
-	if err := d.read(ctx, true); err != nil {
+	if err := d.read(ctx, now, true); err != nil {
+		d.Log.Debug().Err(err).Msg("records of the nodes cannot be read")
+		return
+	}
+	d.forget(now)
+}
+
+// Doubt reads all records because a node does not answer, so that one which is
+// gone is soon forgotten.
+func (d *Discovery) Doubt(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	due := now.Sub(d.doubted) >= doubtPause
+	if due {
+		d.doubted = now
+	}
+	d.mu.Unlock()
+	if !due || !d.Joined() || d.leaving.Load() {
+		return
+	}
+	if err := d.read(ctx, now, false); err != nil {
+		d.Log.Debug().Err(err).Msg("records of the nodes cannot be read")
 		return
 	}
+	d.forget(now)
+}
+
+// forget drops the nodes whose records have been missing for long enough.
+func (d *Discovery) forget(now time.Time) {
 	d.mu.Lock()
 	var gone []netip.AddrPort
 	for a, p := range d.known {
-		if p.missing >= 2 && now.Sub(p.heard) >= silence {
+		if !p.missing.IsZero() && now.Sub(p.missing) >= doubtPause {
 			gone = append(gone, a)
 			delete(d.known, a)
 		}
@@ -208,7 +238,7 @@
 }
 
 // read takes in all records and introduces this node to those that are new.
-func (d *Discovery) read(ctx context.Context, stale bool) error {
+func (d *Discovery) read(ctx context.Context, now time.Time, stale bool) error {
 	call, cancel := context.WithTimeout(ctx, callTime)
 	page, err := d.Depot.List(call, Prefix, stale)
 	cancel()
@@ -229,9 +259,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for a, p := range d.known {
-		p.missing++
-		if listed[a] {
-			p.missing = 0
+		switch {
+		case listed[a]:
+			p.missing = time.Time{}
+		case p.missing.IsZero():
+			p.missing = now
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/node/discovery/discovery_test.go
@@ -0,0 +1,104 @@
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/node/depot"
+	"filbertturn.example/filbertturn/internal/peer/link"
+)
+
+// memory is a depot that holds records only.
+type memory struct {
+	depot.Depot
+	mu    sync.Mutex
+	items map[string][]byte
+}
+
+func (m *memory) List(_ context.Context, prefix string, _ bool) (depot.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var page depot.Page
+	for k, v := range m.items {
+		if strings.HasPrefix(k, prefix) {
+			page.Items = append(page.Items, depot.Item{Key: k, Value: v})
+		}
+	}
+	return page, nil
+}
+
+func (m *memory) set(name string, r *Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r == nil {
+		delete(m.items, Prefix+name)
+		return
+	}
+	m.items[Prefix+name], _ = json.Marshal(r)
+}
+
+// newJoined returns a node that has read the records of a and b, neither of which
+// answers.
+func newJoined(t *testing.T) (*Discovery, *memory) {
+	t.Helper()
+	m := &memory{items: map[string][]byte{}}
+	m.set("a", &Record{Name: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1})
+	m.set("b", &Record{Name: "b", Address: netip.MustParseAddrPort("127.0.0.1:2"), Incarnation: 1})
+	m.items[Prefix+"foreign"] = []byte("\xff not a record")
+	mesh := link.New(nil, nil, nil)
+	t.Cleanup(mesh.Close)
+	d := &Discovery{
+		Self: Record{Name: "self", Address: netip.MustParseAddrPort("127.0.0.1:3")}, Depot: m, Mesh: mesh, Log: zerolog.New(io.Discard),
+		Load: func(time.Time) booking.Load { return booking.Load{} }, Heard: func(time.Time, Presence) {}, Lost: func(netip.AddrPort) {},
+	}
+	if err := d.read(t.Context(), time.Now(), false); err != nil {
+		t.Fatal(err)
+	}
+	d.joined.Store(true)
+	return d, m
+}
+
+// TestDiscovery_Doubt answers a node that is gone for good: it is forgotten a few
+// seconds after its record, which customers' limits wait for.
+func TestDiscovery_Doubt(t *testing.T) {
+	d, m := newJoined(t)
+	now := time.Now()
+	d.Doubt(t.Context(), now)
+	if got := d.Nodes(); got != 3 {
+		t.Fatalf("with all records: got %d nodes, want 3", got)
+	}
+	m.set("a", nil)
+	d.Doubt(t.Context(), now.Add(doubtPause))
+	if got := d.Nodes(); got != 3 {
+		t.Errorf("after one read without the record: got %d nodes, want 3", got)
+	}
+	d.Doubt(t.Context(), now.Add(2*doubtPause))
+	if got := d.Nodes(); got != 2 {
+		t.Errorf("after two reads without the record: got %d nodes, want 2", got)
+	}
+}
+
+// TestDiscovery_Doubt_lapsed answers a store that lost the records of live nodes:
+// those that write them again are kept.
+func TestDiscovery_Doubt_lapsed(t *testing.T) {
+	d, m := newJoined(t)
+	now := time.Now()
+	record := m.items[Prefix+"a"]
+	m.set("a", nil)
+	d.Doubt(t.Context(), now.Add(doubtPause))
+	m.items[Prefix+"a"] = record
+	d.Doubt(t.Context(), now.Add(2*doubtPause))
+	d.Doubt(t.Context(), now.Add(3*doubtPause))
+	if got := d.Nodes(); got != 3 {
+		t.Errorf("got %d nodes, want 3", got)
+	}
+}
--- a/internal/node/quotas/quotas.go
+++ b/internal/node/quotas/quotas.go
@@ -44,6 +44,9 @@
 	Stamp    func(now time.Time) freshness.Stamp // What this node tells of its configuration.
 	Log      zerolog.Logger
 
+	// Doubt is called when a home does not answer.
+	Doubt func()
+
 	// Heard is called with what a home told of its configuration.
 	Heard func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
 
@@ -170,6 +173,7 @@
 	}
 	var m peerpb.TokenGrant
 	if err := proto.Unmarshal(reply, &m); err != nil {
+		q.Doubt()
 		q.Log.Warn().Err(err).Stringer("Home", home).Msg("malformed token grant")
 		return 0, false
 	}
@@ -193,5 +197,6 @@
 	}
 	q.silent[home] = now.Add(silentPause)
 	q.mu.Unlock()
+	q.Doubt()
 	q.Log.Warn().Err(err).Stringer("Home", home).Msg("home of limits does not answer; this node admits its share")
 }
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -114,6 +114,7 @@
 	c.quotas = &quotas.Quotas{
 		Self: s.Peers, Mesh: c.mesh, Nodes: c.discovery.Addresses, Snapshot: c.follower.Snapshot, Log: log,
 		Stamp: c.follower.Stamp, Heard: c.follower.Hear,
+		Doubt: func() { go c.discovery.Doubt(context.Background(), time.Now()) },
 	}
 	c.host.Changed = func() { c.discovery.Announce(context.Background()) }
 	c.dispatch.Know(now, ranking.Node{Address: s.Peers, DataCentre: s.DataCentre, Service: s.Service}, c.host.Load(now))
