--- /dev/null
+++ b/internal/node/dispatch/dispatch_test.go
@@ -0,0 +1,198 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/config/freshness"
+	"filbertturn.example/filbertturn/internal/node/dispatch"
+	"filbertturn.example/filbertturn/internal/peer/courier"
+	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/request/allowance"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+	"filbertturn.example/filbertturn/internal/request/replay"
+	"filbertturn.example/filbertturn/internal/route/ranking"
+)
+
+// owner is a node whose backend server ends each request alike.
+type owner struct {
+	refuse bool
+	kind   kind.Kind // Failure of its runs; Internal for none.
+	status int       // Status of its answers.
+	hang   bool
+	ran    atomic.Int64
+	bodies atomic.Int64 // Bytes of bodies that it got.
+}
+
+func (o *owner) Load(time.Time) booking.Load { return booking.Load{Slots: 3, Serving: true} }
+
+func (o *owner) Run(ctx context.Context, _ *order.Order, verdict func(courier.Verdict), body func() (io.Reader, error)) (*exchange.Answer, error) {
+	if o.refuse {
+		verdict(courier.Verdict{Decision: courier.Refused, Load: o.Load(time.Now())})
+		return nil, failure.New(kind.NoCapacity, "", nil)
+	}
+	verdict(courier.Verdict{Decision: courier.Accepted, Load: o.Load(time.Now())})
+	r, err := body()
+	if err != nil {
+		return nil, err
+	}
+	o.ran.Add(1)
+	if r != nil {
+		n, _ := io.Copy(io.Discard, r)
+		o.bodies.Add(n)
+	}
+	switch {
+	case o.hang:
+		<-ctx.Done()
+		return nil, failure.FromContext(ctx, true)
+	case o.kind != kind.Internal:
+		return nil, failure.New(o.kind, "", nil)
+	}
+	return &exchange.Answer{
+		Status: o.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("text")), ContentLength: 4,
+		Trailer: func() http.Header { return nil },
+	}, nil
+}
+
+func (o *owner) Answer(context.Context, uint32, []byte) ([]byte, error) { return nil, nil }
+
+func (o *owner) Serve(ctx context.Context, head *peerpb.RequestHead, s *link.Stream) {
+	courier.Accept(ctx, o, head, s)
+}
+
+// newDispatch returns an entry that knows two owners. The first one is nearer
+// and is asked first.
+func newDispatch(t *testing.T, first, second *owner) *dispatch.Dispatch {
+	t.Helper()
+	mesh := link.New(nil, nil, first)
+	t.Cleanup(mesh.Close)
+	d := &dispatch.Dispatch{
+		Self: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "a", Host: &owner{refuse: true}, Courier: &courier.Courier{Mesh: mesh},
+		Terms: func() allowance.Terms {
+			return allowance.Terms{Ratio: 0.2, Reserve: 60, Window: 10 * time.Second, Nodes: 3}
+		},
+		Log: zerolog.New(io.Discard), Heard: func(netip.AddrPort, time.Time, freshness.Stamp) {},
+	}
+	for i, o := range []*owner{first, second} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := link.New(nil, nil, o)
+		go m.Listen(l)
+		t.Cleanup(func() { _ = l.Close(); m.Close() })
+		n := ranking.Node{Address: netip.MustParseAddrPort(l.Addr().String()), DataCentre: []string{"a", "b"}[i], Service: "s"}
+		d.Know(time.Now(), n, o.Load(time.Now()))
+	}
+	return d
+}
+
+func newRequest(idempotent bool, body string) *dispatch.Request {
+	now := time.Now()
+	r := &dispatch.Request{Attempts: 2, Order: order.Order{
+		ID: "1", Method: "POST", Target: "/a", Header: http.Header{}, Service: "s", Idempotent: idempotent,
+		Deadline: now.Add(2 * time.Second), Due: now.Add(200 * time.Millisecond), Patience: now.Add(200 * time.Millisecond),
+		Objective: 200 * time.Millisecond, ContentLength: int64(len(body)),
+	}}
+	if body != "" {
+		r.Body = replay.New(strings.NewReader(body))
+	}
+	return r
+}
+
+func TestDispatch_Forward(t *testing.T) {
+	good := func() *owner { return &owner{status: 200} }
+	tests := []struct {
+		desc       string
+		first      *owner
+		idempotent bool
+		body       string
+		wantFirst  int64 // Runs at the first owner.
+		wantSecond int64
+		wantErr    bool
+	}{
+		{"good", good(), false, "body", 1, 0, false},
+		{"refused before the body was sent", &owner{refuse: true}, false, "body", 0, 1, false},
+		{"shed by the backend server", &owner{kind: kind.ShedByBackendServer}, false, "body", 1, 1, false},
+		{"other incarnation", &owner{kind: kind.OtherIncarnation}, false, "body", 1, 1, false},
+		{"unreachable backend server", &owner{kind: kind.UnreachableBackendServer}, false, "body", 1, 1, false},
+		{"broken answer, runs once", &owner{kind: kind.BrokenAnswer}, false, "body", 1, 0, true},
+		{"broken answer, idempotent", &owner{kind: kind.BrokenAnswer}, true, "", 1, 1, false},
+		{"error, runs once", &owner{status: 500}, false, "", 1, 0, false},
+		{"error, idempotent", &owner{status: 500}, true, "", 1, 1, false},
+		{"hangs, idempotent", &owner{hang: true}, true, "", 1, 1, false},
+		{"hangs, runs once", &owner{hang: true}, false, "", 1, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			t.Parallel()
+			second := good()
+			d := newDispatch(t, tt.first, second)
+			r := newRequest(tt.idempotent, tt.body)
+			ctx, cancel := context.WithDeadline(t.Context(), r.Order.Deadline)
+			defer cancel()
+			answer, err := d.Forward(ctx, r)
+			if (err != nil) != tt.wantErr {
+				t.Errorf("got the error %v, want an error: %v", err, tt.wantErr)
+			}
+			if err == nil {
+				_ = answer.Body.Close()
+			}
+			if got := tt.first.ran.Load(); got != tt.wantFirst {
+				t.Errorf("got %d runs at the first owner, want %d", got, tt.wantFirst)
+			}
+			if got := second.ran.Load(); got != tt.wantSecond {
+				t.Errorf("got %d runs at the second owner, want %d", got, tt.wantSecond)
+			}
+			if got := second.bodies.Load(); got != tt.wantSecond*int64(len(tt.body)) {
+				t.Errorf("got %d bytes at the second owner, want the whole body", got)
+			}
+		})
+	}
+}
+
+// TestDispatch_Forward_attempts checks that no request runs on more backend
+// servers than its route allows.
+func TestDispatch_Forward_attempts(t *testing.T) {
+	first, second := &owner{status: 500}, &owner{status: 500}
+	d := newDispatch(t, first, second)
+	r := newRequest(true, "")
+	r.Attempts = 1
+	answer, err := d.Forward(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	if got := first.ran.Load() + second.ran.Load(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+// TestDispatch_Forward_refused checks that a request which no node takes is
+// refused at once, with a time to come back and the word that it has not run.
+func TestDispatch_Forward_refused(t *testing.T) {
+	d := newDispatch(t, &owner{refuse: true}, &owner{refuse: true})
+	started := time.Now()
+	_, err := d.Forward(t.Context(), newRequest(false, "body"))
+	f := failure.From(err)
+	if !f.Kind.NotRun() || f.RetryAfter <= 0 {
+		t.Errorf("got %v and to come back after %s, want a refusal with a time", err, f.RetryAfter)
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("got the refusal after %s, want it at once", took)
+	}
+}
