Call the client of the fleet's own store keyvalue

internal/platform and platform/ could not both mean something: the first is the client of the key-value service that fleets of their own use. No behaviour changes.

--- a/internal/admin/api/api_test.go
+++ b/internal/admin/api/api_test.go
@@ -18,10 +18,10 @@
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 	"filbertturn.example/filbertturn/internal/node/membership"
 	"filbertturn.example/filbertturn/internal/node/owner"
 	"filbertturn.example/filbertturn/internal/node/settings"
-	"filbertturn.example/filbertturn/internal/platform/store"
 	"filbertturn.example/filbertturn/internal/route/directory"
 )
 
--- a/internal/config/publisher/assertion.go
+++ b/internal/config/publisher/assertion.go
@@ -10,7 +10,7 @@
 	"filbertturn.example/filbertturn/internal/config/diff"
 	"filbertturn.example/filbertturn/internal/fleet/head"
 	"filbertturn.example/filbertturn/internal/fleet/member"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 // Assertion is an operator's word that members have stopped for ever. It makes a
--- a/internal/config/publisher/bench_test.go
+++ b/internal/config/publisher/bench_test.go
@@ -11,8 +11,8 @@
 
 	"filbertturn.example/filbertturn/internal/config/publisher"
 	"filbertturn.example/filbertturn/internal/config/sample"
-	"filbertturn.example/filbertturn/internal/platform/reader"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 	standin "filbertturn.example/filbertturn/internal/standin/store"
 )
 
--- a/internal/config/publisher/decision.go
+++ b/internal/config/publisher/decision.go
@@ -6,7 +6,7 @@
 	"filbertturn.example/filbertturn/internal/config/audit"
 	"filbertturn.example/filbertturn/internal/config/diff"
 	"filbertturn.example/filbertturn/internal/fleet/head"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 // maxCommits bounds the commits of one publish. Each but the first follows a
--- a/internal/config/publisher/keeping.go
+++ b/internal/config/publisher/keeping.go
@@ -7,8 +7,8 @@
 
 	"filbertturn.example/filbertturn/internal/config/audit"
 	"filbertturn.example/filbertturn/internal/config/chunk"
-	"filbertturn.example/filbertturn/internal/platform/reader"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 const (
--- a/internal/config/publisher/publisher.go
+++ b/internal/config/publisher/publisher.go
@@ -12,9 +12,9 @@
 	"filbertturn.example/filbertturn/internal/config/diff"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/fleet/head"
-	"filbertturn.example/filbertturn/internal/platform/gateway"
-	"filbertturn.example/filbertturn/internal/platform/reader"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/gateway"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 const (
--- a/internal/config/publisher/race_test.go
+++ b/internal/config/publisher/race_test.go
@@ -18,8 +18,8 @@
 	"filbertturn.example/filbertturn/internal/config/diff"
 	"filbertturn.example/filbertturn/internal/config/publisher"
 	"filbertturn.example/filbertturn/internal/config/set"
-	"filbertturn.example/filbertturn/internal/platform/reader"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 var errInjected = errors.New("injected")
--- a/internal/config/publisher/reinstatement.go
+++ b/internal/config/publisher/reinstatement.go
@@ -10,7 +10,7 @@
 	"filbertturn.example/filbertturn/internal/config/chunk"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/fleet/head"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 // Reinstatement brings a store that was restored from a backup back to the
--- a/internal/platform/reader/reader.go
+++ b/internal/keyvalue/reader/reader.go
@@ -11,7 +11,7 @@
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/fleet/codec"
 	"filbertturn.example/filbertturn/internal/fleet/head"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 // Keys of the store.
--- a/internal/platform/reader/reader_test.go
+++ b/internal/keyvalue/reader/reader_test.go
@@ -11,8 +11,8 @@
 	"filbertturn.example/filbertturn/internal/config/sample"
 	"filbertturn.example/filbertturn/internal/fleet/head"
 	"filbertturn.example/filbertturn/internal/fleet/member"
-	"filbertturn.example/filbertturn/internal/platform/reader"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 // fake is a store that cannot fail but lack keys.
--- a/internal/platform/store/client.go
+++ b/internal/keyvalue/store/client.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"filbertturn.example/filbertturn/internal/platform/gateway"
+	"filbertturn.example/filbertturn/internal/keyvalue/gateway"
 )
 
 // Bounds of a call.
--- a/internal/platform/store/client_test.go
+++ b/internal/keyvalue/store/client_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 	standin "filbertturn.example/filbertturn/internal/standin/store"
 )
 
--- a/internal/node/membership/load.go
+++ b/internal/node/membership/load.go
@@ -13,8 +13,8 @@
 	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/fleet/codec"
 	"filbertturn.example/filbertturn/internal/fleet/head"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
 	"filbertturn.example/filbertturn/internal/peer/question"
-	"filbertturn.example/filbertturn/internal/platform/reader"
 )
 
 // loadTimeout bounds the fetch of a whole configuration.
--- a/internal/node/membership/membership.go
+++ b/internal/node/membership/membership.go
@@ -22,7 +22,7 @@
 	"filbertturn.example/filbertturn/internal/fleet/placement"
 	"filbertturn.example/filbertturn/internal/fleet/steward"
 	"filbertturn.example/filbertturn/internal/fleet/suspend"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
 )
--- a/internal/node/membership/store.go
+++ b/internal/node/membership/store.go
@@ -7,8 +7,8 @@
 
 	"filbertturn.example/filbertturn/internal/fleet/head"
 	"filbertturn.example/filbertturn/internal/fleet/steward"
-	"filbertturn.example/filbertturn/internal/platform/reader"
-	"filbertturn.example/filbertturn/internal/platform/store"
+	"filbertturn.example/filbertturn/internal/keyvalue/reader"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 )
 
 // read asks the store for the head, if this node is to do so now.
--- a/internal/node/process/process.go
+++ b/internal/node/process/process.go
@@ -19,6 +19,7 @@
 	"filbertturn.example/filbertturn/internal/admin/api"
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/fleet/member"
+	"filbertturn.example/filbertturn/internal/keyvalue/store"
 	"filbertturn.example/filbertturn/internal/node/entry"
 	"filbertturn.example/filbertturn/internal/node/forwarder"
 	"filbertturn.example/filbertturn/internal/node/identity"
@@ -31,7 +32,6 @@
 	"filbertturn.example/filbertturn/internal/node/settings"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
-	"filbertturn.example/filbertturn/internal/platform/store"
 )
 
 // Bounds of connections from outside.
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"filbertturn.example/filbertturn/internal/platform/gateway"
+	"filbertturn.example/filbertturn/internal/keyvalue/gateway"
 )
 
 const (
