--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -33,10 +33,13 @@
 // objectivePart of its timeout is the objective of a route that has none.
 const objectivePart = 0.25
 
-// nestedPatience times its objective is the longest that a nested request waits
-// for a slot. The backend server that waits for it holds a slot of its own, and is
-// late by then.
-const nestedPatience = 2
+// A nested request waits for a slot for nestedPatience times its objective, or for
+// one nestedPart of the time that its caller has left if that is longer. The
+// backend server that waits for it holds a slot of its own, and would be late.
+const (
+	nestedPatience = 2
+	nestedPart     = 3
+)
 
 // Limiter admits requests of customers.
 type Limiter interface {
@@ -213,7 +216,7 @@
 	o.Due = p.started.Add(o.Objective)
 	o.Patience = o.Due
 	if o.Nested {
-		o.Patience = p.started.Add(nestedPatience * o.Objective)
+		o.Patience = p.started.Add(max(nestedPatience*o.Objective, p.deadline.Sub(p.started)/nestedPart))
 	}
 	if p.http.ContentLength != 0 {
 		p.request.Body = replay.New(p.http.Body)
