--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// doubtful is the suspicion above which only requests that may be repeated
+	// maxTrusted is the suspicion from which only requests that may be repeated
 	// are sent, one at a time, to learn whether the backend server recovered.
-	doubtful = 0.2
+	maxTrusted = 0.2
 
-	// failing is the suspicion above which requests that could wait go elsewhere.
-	failing = 0.5
+	// maxQueued is the suspicion from which requests that could wait go elsewhere.
+	maxQueued = 0.5
 
 	// firstTrialPause and maxTrialPause bound the time between two such requests
 	// while they fail. It doubles with each failure.
@@ -191,12 +191,12 @@
 	switch {
 	case !d.open:
 		return []Effect{d.refuse(t)}
-	case t.Level == order.Trusted && suspect >= doubtful:
+	case t.Level == order.Trusted && suspect >= maxTrusted:
 		if t.Idempotent && free > 0 && d.trialDue(now) {
 			return []Effect{d.start(now, t, true)}
 		}
 		return []Effect{d.refuse(t)}
-	case t.Level == order.Queued && suspect >= failing:
+	case t.Level == order.Queued && suspect >= maxQueued:
 		return []Effect{d.refuse(t)}
 	case free > 0 && len(d.waiting) == 0:
 		return []Effect{d.start(now, t, false)}
--- a/internal/clock/timer/timer.go
+++ b/internal/clock/timer/timer.go
@@ -3,6 +3,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -48,6 +49,16 @@
 	s.running.Wait()
 }
 
+// Sleep waits for a time or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Service) run(interval time.Duration, f func(Tick), done <-chan struct{}) {
 	defer s.running.Done()
 	due := time.Now().Add(interval)
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -21,6 +21,7 @@
 	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/node/depot"
+	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
@@ -145,7 +146,7 @@
 			return
 		}
 		d.Log.Warn().Err(err).Msg("cannot join the fleet yet")
-		sleep(ctx, askPause/2+rand.N(askPause/2))
+		timer.Sleep(ctx, askPause/2+rand.N(askPause/2))
 	}
 }
 
@@ -328,7 +329,7 @@
 			}
 			return
 		}
-		sleep(ctx, askPause+rand.N(askPause/2))
+		timer.Sleep(ctx, askPause+rand.N(askPause/2))
 	}
 	d.Log.Debug().Stringer("Address", to).Msg("node does not answer introductions")
 }
@@ -363,13 +364,11 @@
 
 func (d *Discovery) presence(now time.Time) *peerpb.Presence {
 	l := d.Load(now)
+	l.Serving = l.Serving && !d.leaving.Load()
 	return &peerpb.Presence{
 		Name: d.Self.Name, Address: d.Self.Address.String(), DataCentre: d.Self.DataCentre, Service: d.Self.Service,
 		Incarnation: d.Self.Incarnation, Sequence: d.sequence.Load(), Leaving: d.leaving.Load(),
-		Load: &peerpb.Load{
-			Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
-			Failing: float32(l.Failing), Serving: l.Serving && !d.leaving.Load(), HoldNanos: int64(l.Hold),
-		},
+		Load: courier.ToLoad(l),
 	}
 }
 
@@ -388,18 +387,6 @@
 		},
 		Sequence: m.GetSequence(),
 		Leaving:  m.GetLeaving(),
-		Load: booking.Load{
-			Running: int(m.GetLoad().GetRunning()), Waiting: int(m.GetLoad().GetWaiting()), Slots: int(m.GetLoad().GetSlots()),
-			Failing: float64(m.GetLoad().GetFailing()), Serving: m.GetLoad().GetServing(), Hold: time.Duration(m.GetLoad().GetHoldNanos()),
-		},
+		Load:     courier.FromLoad(m.GetLoad()),
 	}, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
@@ -94,7 +95,7 @@
 		case freshness.Consult:
 			f.consult(ctx, scout)
 		default:
-			sleep(ctx, wait+rand.N(jitter))
+			timer.Sleep(ctx, wait+rand.N(jitter))
 		}
 	}
 }
@@ -245,12 +246,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/process/process.go
+++ b/internal/node/process/process.go
@@ -174,7 +174,7 @@
 			p.registrar.Pull(ctx, time.Now())
 			return
 		}
-		sleep(ctx, pollInterval)
+		timer.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -236,7 +236,7 @@
 	p.closing.Store(true)
 	p.owner.Close()
 	p.registrar.Publish()
-	sleep(ctx, p.settings.DrainDelay)
+	timer.Sleep(ctx, p.settings.DrainDelay)
 	var callers sync.WaitGroup
 	callers.Add(1)
 	go func() {
@@ -244,19 +244,10 @@
 		_ = p.servers[len(p.servers)-1].Shutdown(ctx)
 	}()
 	for p.owner.Active() > 0 && ctx.Err() == nil {
-		sleep(ctx, pollInterval)
+		timer.Sleep(ctx, pollInterval)
 	}
 	callers.Wait()
 	p.membership.Resign(time.Now())
-	sleep(ctx, resignTime)
+	timer.Sleep(ctx, resignTime)
 	p.log.Info().Bool("Cut", ctx.Err() != nil).Msg("shut down")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -286,19 +286,10 @@
 	c.closing.Store(true)
 	c.host.Close()
 	c.discovery.Leave(ctx)
-	sleep(ctx, noticeTime)
+	timer.Sleep(ctx, noticeTime)
 	for c.host.Active() > 0 && ctx.Err() == nil {
-		sleep(ctx, pollInterval)
+		timer.Sleep(ctx, pollInterval)
 	}
 	_ = c.servers[0].Shutdown(ctx)
 	c.log.Info().Bool("Cut", ctx.Err() != nil).Msg("requests under way have ended")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/courier/accept.go
+++ b/internal/peer/courier/accept.go
@@ -42,7 +42,7 @@
 	defer in.close()
 	answer, err := host.Run(ctx, o, func(v Verdict) {
 		_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Verdict{Verdict: &peerpb.Verdict{
-			Decision: uint32(v.Decision), RetryAfterNanos: int64(v.RetryAfter), Load: toLoad(v.Load),
+			Decision: uint32(v.Decision), RetryAfterNanos: int64(v.RetryAfter), Load: ToLoad(v.Load),
 			Freshness: ToFreshness(v.Stamp),
 		}}})
 	}, func() (io.Reader, error) { return in.wait(ctx) })
@@ -50,7 +50,7 @@
 		f := failure.From(err)
 		_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Failure{Failure: &peerpb.Failure{
 			Kind: uint32(f.Kind), RetryAfterNanos: int64(f.RetryAfter), Detail: f.Detail,
-			BackendServer: f.BackendServer.String(), Load: toLoad(host.Load(time.Now())),
+			BackendServer: f.BackendServer.String(), Load: ToLoad(host.Load(time.Now())),
 		}}})
 		return
 	}
@@ -64,7 +64,7 @@
 		Headers:       fields(answer.Header),
 		ContentLength: answer.ContentLength,
 		BackendServer: answer.BackendServer.String(),
-		Load:          toLoad(load),
+		Load:          ToLoad(load),
 	}
 	if stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Answer{Answer: head}}) != nil {
 		return
--- a/internal/peer/courier/offer.go
+++ b/internal/peer/courier/offer.go
@@ -140,7 +140,7 @@
 		}
 		switch body := frame.GetBody().(type) {
 		case *peerpb.Frame_Verdict:
-			l := fromLoad(body.Verdict.GetLoad())
+			l := FromLoad(body.Verdict.GetLoad())
 			load = &l
 			f.stamp = FromFreshness(body.Verdict.GetFreshness())
 			switch Decision(body.Verdict.GetDecision()) {
@@ -212,13 +212,13 @@
 	switch body := frame.GetBody().(type) {
 	case *peerpb.Frame_Answer:
 		if l := body.Answer.GetLoad(); l != nil {
-			now := fromLoad(l)
+			now := FromLoad(l)
 			load = &now
 		}
 		return f.answer(body.Answer), load, nil
 	case *peerpb.Frame_Failure:
 		if l := body.Failure.GetLoad(); l != nil {
-			now := fromLoad(l)
+			now := FromLoad(l)
 			load = &now
 		}
 		return nil, load, fromFrame(body.Failure)
@@ -261,7 +261,6 @@
 		Service:        o.Service,
 		CallerService:  o.CallerService,
 		Level:          uint32(o.Level),
-		Reserve:        true,
 		Priority:       int32(o.Priority),
 		Nested:         o.Nested,
 		Idempotent:     o.Idempotent,
@@ -282,14 +281,16 @@
 	return freshness.Stamp{Version: f.GetVersion(), Age: time.Duration(f.GetAgeNanos())}
 }
 
-func toLoad(l booking.Load) *peerpb.Load {
+// ToLoad and FromLoad translate what a node tells of its backend server.
+func ToLoad(l booking.Load) *peerpb.Load {
 	return &peerpb.Load{
 		Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
 		Failing: float32(l.Failing), Serving: l.Serving, HoldNanos: int64(l.Hold),
 	}
 }
 
-func fromLoad(l *peerpb.Load) booking.Load {
+// FromLoad is the inverse of ToLoad.
+func FromLoad(l *peerpb.Load) booking.Load {
 	return booking.Load{
 		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()),
 		Failing: float64(l.GetFailing()), Serving: l.GetServing(), Hold: time.Duration(l.GetHoldNanos()),
