Refuse in fleets of their own what only nodes on a platform serve

Cause: routes have got hosts, splits and more for the platform, and the check let them through for fleets that publish their own sets, whose nodes would have ignored them. Tests for the new fields.

--- a/internal/config/check/check_test.go
+++ b/internal/config/check/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +30,19 @@
 			"Route route-0000 Pool pool-00", "Customer customer-00000 Limit ", "Customer customer-00001 Routes route-0001",
 			"Key key-00000 Customer ",
 		}},
+		{"destinations", func(s *set.Set) {
+			s.Routes[0].Pool, s.Routes[0].Split = "", []set.Share{{Pool: "pool-00", Weight: 2}, {Pool: "pool-0", Weight: -1}}
+			s.Routes[1].Split = []set.Share{{Pool: "pool-00"}}
+			s.Routes[2].Attempts, s.Routes[2].Priority, s.Routes[2].Target, s.Routes[2].Repeat = -1, -1, -1, "Sometimes"
+		}, []string{
+			"Route route-0000 Split pool-00", "Route route-0000 Split ", "Route route-0001 Pool ", "Route route-0001 Split ",
+			"Route route-0002 Target ", "Route route-0002 Repeat ", "Route route-0002 Attempts ", "Route route-0002 Priority ",
+		}},
+		{"same prefix of two hosts", func(s *set.Set) {
+			s.Routes = append(s.Routes, s.Routes[0])
+			last := &s.Routes[len(s.Routes)-1]
+			last.Name, last.Host = "other-host", "h.example"
+		}, nil},
 		{"names", func(s *set.Set) {
 			s.Pools = append(s.Pools, set.Pool{Name: "a b", Service: "s"}, set.Pool{Name: "pool-00", Service: "s"}, set.Pool{Service: "s"})
 			s.Limits[1].Name = strings.Repeat("x", 64)
@@ -144,3 +158,20 @@
 		}
 	})
 }
+
+// TestUnserved checks that a fleet with sets of its own refuses what its nodes
+// would ignore.
+func TestUnserved(t *testing.T) {
+	s := set.Set{
+		Routes:    []set.Route{{Name: "plain", Pool: "p"}, {Name: "r", Host: "h", Split: []set.Share{{Pool: "p", Weight: 1}}, Upload: true}},
+		Customers: []set.Customer{{Name: "c", Priority: 1}},
+	}
+	var got []string
+	for _, p := range check.Unserved(s) {
+		got = append(got, p.Name+" "+p.Field)
+	}
+	want := []string{"r Host", "r Split", "r Upload", "c Priority"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/internal/config/check/route.go
+++ b/internal/config/check/route.go
@@ -69,6 +69,35 @@
 	}
 }
 
+// Unserved returns the fields of a set that only nodes on a platform serve.
+// Fleets that publish their own sets refuse them: a node that ignored a host or a
+// split would send requests elsewhere than the operator said.
+func Unserved(s set.Set) []Problem {
+	c := &checker{}
+	const message = "is served by nodes on a platform only"
+	for _, o := range s.Routes {
+		c.at("Route", o.Name)
+		for _, f := range []struct {
+			name string
+			set  bool
+		}{
+			{"Host", o.Host != ""}, {"Subtree", o.Subtree}, {"Split", len(o.Split) > 0}, {"Repeat", o.Repeat != ""}, {"Upload", o.Upload},
+			{"Attempts", o.Attempts != 0}, {"Priority", o.Priority != 0}, {"Target", o.Target != 0},
+		} {
+			if f.set {
+				c.add(f.name, message)
+			}
+		}
+	}
+	for _, o := range s.Customers {
+		c.at("Customer", o.Name)
+		if o.Priority != 0 {
+			c.add("Priority", message)
+		}
+	}
+	return c.problems
+}
+
 // prefix admits only characters that have one form in a URL, so that a path
 // cannot be written in another way that avoids the route.
 func (c *checker) prefix(prefix string) {
