Bound connections to backend servers on the same VM by a setting of the client

Cause: the bound of 300 ms for the node on the platform had been set for fleets of their own too, whose backend servers are elsewhere. The node on the platform behaves as before.

--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -122,7 +122,11 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	timeout := c.DialTimeout
+	if timeout <= 0 {
+		timeout = dialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp", c.Address.String())
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -25,10 +25,10 @@
 
 // Bounds of connections to one backend server.
 const (
-	dialTimeout    = 300 * time.Millisecond // A backend server is on the VM of its owner or near it.
-	maxIdle        = 8                      // Idle connections that are kept.
-	idleTimeout    = 5 * time.Second        // Age after which an idle connection is not used again.
-	maxInformation = 5                      // Informational (1xx) answers before the final one.
+	dialTimeout    = time.Second
+	maxIdle        = 8               // Idle connections that are kept.
+	idleTimeout    = 5 * time.Second // Age after which an idle connection is not used again.
+	maxInformation = 5               // Informational (1xx) answers before the final one.
 	maxHeaderBytes = 1 << 20
 	bufferSize     = 4096     // Bytes of each read and write buffer.
 	maxSettled     = 4 << 10  // Bytes of a refusal that are read for the sake of its connection.
@@ -77,6 +77,9 @@
 	// requests are skipped, and an answer may end with its connection.
 	Dialect dialect.Dialect
 
+	// DialTimeout bounds the opening of a connection; zero means a second.
+	DialTimeout time.Duration
+
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -29,6 +29,10 @@
 	// run only once: a backend server may drop one that was idle for longer.
 	fresh = time.Second
 
+	// connectTimeout bounds the opening of a connection: the backend server is on
+	// the same VM.
+	connectTimeout = 300 * time.Millisecond
+
 	// checkTimeout bounds the health check of a new incarnation.
 	checkTimeout = time.Second
 )
@@ -113,7 +117,7 @@
 	if h.client != nil {
 		h.client.Close()
 	}
-	h.client = &exchange.Client{Address: h.Address, Dialect: h.Dialect}
+	h.client = &exchange.Client{Address: h.Address, Dialect: h.Dialect, DialTimeout: connectTimeout}
 }
 
 // opened lets requests in once the incarnation is confirmed.
