Let what was heard of a slow backend server lose weight

The cost of slowness now fades with the age of what was heard, as that of load does. TestRanking_Pick_slowAgain failed with 0 of 1000 choices before.

--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -161,7 +161,7 @@
 		if !c.load.Serving && !c.heard.IsZero() && now.Sub(c.heard) < askAgain {
 			continue
 		}
-		cost := c.cost(now, w) + c.slowness(fastest) + shuffle*math.Mod(w.Random*float64(i+1)*math.Phi, 1)
+		cost := c.cost(now, w) + c.slowness(fastest)*c.fresh(now) + shuffle*math.Mod(w.Random*float64(i+1)*math.Phi, 1)
 		if cost < least {
 			best, least = a, cost
 		}
--- a/internal/route/ranking/ranking_test.go
+++ b/internal/route/ranking/ranking_test.go
@@ -95,3 +95,21 @@
 		t.Errorf("got %v, want both near nodes often", counts)
 	}
 }
+
+// TestRanking_Pick_slowAgain answers a light load: a backend server that was slow
+// is tried again after a while, or it would get nothing and stay slow for ever.
+func TestRanking_Pick_slowAgain(t *testing.T) {
+	slow := load(0, 0)
+	slow.Hold = 300 * time.Millisecond
+	r := three(slow, load(0, 0), load(0, 0))
+	got := 0
+	for i := range 1000 {
+		a, _ := r.Pick(now.Add(1600*time.Millisecond), ranking.Choice{Service: "s", DataCentre: "a", Random: float64(i) / 1000})
+		if a == near {
+			got++
+		}
+	}
+	if got < 200 {
+		t.Errorf("got %d of 1000 choices 1.6 s after it was slow, want at least 200", got)
+	}
+}
