Give requests to a backend server of which little is known

Two causes in the choice of a node. The random part of two nodes' costs came from one number, so that with two nodes their difference never exceeded half of its range and the one with the worse record was never chosen. And the time that slots were held for counted for ever at the node itself, which hears its own load anew for each request.

Ruled out: the health check (it passed within milliseconds), the heartbeat, suspicion.

Draws of two nodes are now independent and a little wider, and a desk forgets how long slots were held 3 s after its last answer. TestRanking_Pick_unknown (0 of 1000 choices) and TestDesk_Load_hold failed before.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -45,6 +45,10 @@
 	// before any has left.
 	expectedHold = 100 * time.Millisecond
 
+	// holdMemory is the time after which the last answer says nothing of how long
+	// the next request holds its slot: a slow backend server may be fast again.
+	holdMemory = 3 * time.Second
+
 	// maxWaitingPerSlot bounds the queue.
 	maxWaitingPerSlot = 8
 )
@@ -116,6 +120,7 @@
 	waiting   []Ticket
 	suspicion suspicion.Suspicion
 	hold      time.Duration // Mean time that a request holds its slot.
+	ended     time.Time     // Time of the last answer.
 	means     map[string]*mean
 	observed  time.Time // Until when suspicion has seen the requests that run.
 	nextTrial time.Time
@@ -153,10 +158,14 @@
 
 // Load describes the desk.
 func (d *Desk) Load(now time.Time) Load {
-	return Load{
+	l := Load{
 		Running: len(d.running), Waiting: len(d.waiting), Slots: d.slots,
-		Failing: d.failing(now), Serving: d.open, Hold: d.hold,
+		Failing: d.failing(now), Serving: d.open,
+	}
+	if now.Sub(d.ended) < holdMemory {
+		l.Hold = d.hold
 	}
+	return l
 }
 
 // failing returns the likelihood that the next request fails.
@@ -340,7 +349,7 @@
 	took := now.Sub(r.started)
 	switch o {
 	case Answered:
-		d.answered(r, took)
+		d.answered(now, r, took)
 		d.suspicion.Good(now)
 		if r.trial {
 			d.failures, d.nextTrial = 0, now
@@ -366,7 +375,8 @@
 	}
 }
 
-func (d *Desk) answered(r *run, took time.Duration) {
+func (d *Desk) answered(now time.Time, r *run, took time.Duration) {
+	d.ended = now
 	d.hold = smooth(d.holdTime(), took)
 	if d.means == nil {
 		d.means = make(map[string]*mean)
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -241,3 +241,15 @@
 	expect(t, "waits", d.Enter(at(0), w), "wait 2;")
 	expect(t, "gives up", d.Tick(at(90*time.Millisecond)), "refuse 2;")
 }
+
+// TestDesk_Load_hold answers the load of a backend server that was slow and then
+// got nothing: what its old answers took must not keep requests away for ever.
+func TestDesk_Load_hold(t *testing.T) {
+	d := open(1)
+	if got := d.Load(at(0)).Hold; got <= 0 {
+		t.Errorf("just after answers: got %s, want the time that they took", got)
+	}
+	if got := d.Load(at(5 * time.Second)).Hold; got != 0 {
+		t.Errorf("five seconds later: got %s, want none", got)
+	}
+}
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -32,8 +33,9 @@
 	slowCost = 0.4
 	maxSlow  = 4.0
 
-	// shuffle spreads the choices of entries that know the same.
-	shuffle = 0.15
+	// shuffle spreads the choices of entries that know the same, and lets one of
+	// which nothing is known be chosen beside those that did well.
+	shuffle = 0.2
 
 	// firstPause and maxPause bound the time for which a way that failed is
 	// avoided. The pause doubles with each failure.
@@ -161,7 +163,7 @@
 		if !c.load.Serving && !c.heard.IsZero() && now.Sub(c.heard) < askAgain {
 			continue
 		}
-		cost := c.cost(now, w) + c.slowness(fastest)*c.fresh(now) + shuffle*math.Mod(w.Random*float64(i+1)*math.Phi, 1)
+		cost := c.cost(now, w) + c.slowness(fastest)*c.fresh(now) + shuffle*w.draw(i)
 		if cost < least {
 			best, least = a, cost
 		}
@@ -169,6 +171,13 @@
 	return best, !math.IsInf(least, 1)
 }
 
+// draw returns a number from 0 to 1 for a place of the order. Those of two places
+// are independent, or some nodes would never be chosen beside others.
+func (w Choice) draw(place int) float64 {
+	source := rand.NewPCG(math.Float64bits(w.Random), uint64(place))
+	return float64(source.Uint64()>>11) / (1 << 53)
+}
+
 // fastest returns the least time that a backend server of the service holds a
 // slot, or zero if none is known.
 func (r *Ranking) fastest(service string) time.Duration {
--- a/internal/route/ranking/ranking_test.go
+++ b/internal/route/ranking/ranking_test.go
@@ -113,3 +113,23 @@
 		t.Errorf("got %d of 1000 choices 1.6 s after it was slow, want at least 200", got)
 	}
 }
+
+// TestRanking_Pick_unknown answers a light load after a backend server joined:
+// it gets requests beside one of which only good is known, also where it comes
+// first in the order of addresses.
+func TestRanking_Pick_unknown(t *testing.T) {
+	for _, joined := range []netip.AddrPort{near, same} {
+		r := three(load(0, 0.01), load(0, 0.01), load(3, 0))
+		r.Hear(now, joined, booking.Load{Slots: 3, Failing: 0.05, Serving: true})
+		got := 0
+		for i := range 1000 {
+			a, _ := r.Pick(now, ranking.Choice{Service: "s", DataCentre: "a", Random: float64(i) / 1000})
+			if a == joined {
+				got++
+			}
+		}
+		if got < 10 {
+			t.Errorf("got %d of 1000 choices of %s that joined, want at least 10", got, joined)
+		}
+	}
+}
