Do not blame a backend server for calls that failed

Ruled out: slots, of which half were free.

The node beside a backend server sees its calls. A call that came to nothing now excuses one error that ends within a second. TestDesk_CallFailed failed before.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -45,6 +45,10 @@
 	// before any has left.
 	expectedHold = 100 * time.Millisecond
 
+	// excuseTime is the time after a failed call of a backend server in which one
+	// of its requests is expected to end with an error for it.
+	excuseTime = time.Second
+
 	// holdMemory is the time after which the last answer says nothing of how long
 	// the next request holds its slot: a slow backend server may be fast again.
 	holdMemory = 3 * time.Second
@@ -74,6 +78,7 @@
 const (
 	Answered  Outcome = iota
 	Failed            // The backend server failed it.
+	Errored           // The backend server answered it with an error.
 	Abandoned         // It was cancelled, which says nothing of the backend server.
 	Refused           // The backend server shed it.
 )
@@ -124,7 +129,8 @@
 	means     map[string]*mean
 	observed  time.Time // Until when suspicion has seen the requests that run.
 	nextTrial time.Time
-	failures  int // Trials in a row that failed.
+	failures  int         // Trials in a row that failed.
+	excuses   []time.Time // Times of the calls that failed and that no request ended for yet.
 }
 
 // Load is what other nodes are told of a desk.
@@ -354,12 +360,12 @@
 		if r.trial {
 			d.failures, d.nextTrial = 0, now
 		}
-	case Failed:
-		// How long it ran has counted already.
-		if !r.overdue {
-			d.suspicion.Bad(now)
+	case Errored:
+		if !d.excused(now) {
+			d.failed(now, r)
 		}
-		d.trialFailed(r)
+	case Failed:
+		d.failed(now, r)
 	case Abandoned:
 		if r.overdue {
 			d.trialFailed(r)
@@ -369,6 +375,33 @@
 	return d.fill(now, d.Tick(now))
 }
 
+func (d *Desk) failed(now time.Time, r *run) {
+	// How long it ran has counted already.
+	if !r.overdue {
+		d.suspicion.Bad(now)
+	}
+	d.trialFailed(r)
+}
+
+// CallFailed notes that a call which the backend server made came to nothing. The
+// request that made it is not known.
+func (d *Desk) CallFailed(now time.Time) {
+	if len(d.excuses) < len(d.running) {
+		d.excuses = append(d.excuses, now)
+	}
+}
+
+// excused tells whether an error may be that of a failed call, which explains no
+// other error then.
+func (d *Desk) excused(now time.Time) bool {
+	d.excuses = slices.DeleteFunc(d.excuses, func(t time.Time) bool { return now.Sub(t) >= excuseTime })
+	if len(d.excuses) == 0 {
+		return false
+	}
+	d.excuses = slices.Delete(d.excuses, 0, 1)
+	return true
+}
+
 func (d *Desk) trialFailed(r *run) {
 	if r.trial {
 		d.failures++
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -253,3 +253,34 @@
 		t.Errorf("five seconds later: got %s, want none", got)
 	}
 }
+
+// TestDesk_CallFailed answers an overload of a service that others call: a backend
+// server whose calls fail answers with errors and is not itself at fault.
+func TestDesk_CallFailed(t *testing.T) {
+	const step = 50 * time.Millisecond
+	tests := []struct {
+		desc  string
+		calls int           // Calls that fail while a request runs.
+		pause time.Duration // From a call to the error.
+		want  string
+	}{
+		{"errors of its own", 0, 0, "refuse 9;"},
+		{"errors of its calls", 1, 10 * time.Millisecond, "start 9;"},
+		{"more errors than calls that failed", 0, 10 * time.Millisecond, "refuse 9;"},
+		{"calls that failed long before", 1, 1500 * time.Millisecond, "refuse 9;"},
+	}
+	for _, tt := range tests {
+		d := open(3)
+		now := at(0)
+		for id := range uint64(4) {
+			d.Enter(now, ticket(id, order.Trusted))
+			for range tt.calls {
+				d.CallFailed(now)
+			}
+			now = now.Add(tt.pause)
+			d.Leave(now, id, booking.Errored)
+			now = now.Add(step)
+		}
+		expect(t, tt.desc, d.Enter(now, ticket(9, order.Trusted)), tt.want)
+	}
+}
--- a/internal/node/host/execution.go
+++ b/internal/node/host/execution.go
@@ -146,7 +146,7 @@
 
 func statusOutcome(status int) booking.Outcome {
 	if status >= http.StatusInternalServerError {
-		return booking.Failed
+		return booking.Errored
 	}
 	return booking.Answered
 }
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -323,6 +323,13 @@
 	h.deliver(h.desk.Leave(time.Now(), id, o))
 }
 
+// CallFailed notes that a call which the backend server made came to nothing.
+func (h *Host) CallFailed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.desk.CallFailed(time.Now())
+}
+
 // suspend takes an incarnation out of service that no connection reaches, until
 // its next heartbeat.
 func (h *Host) suspend(instance string, cause error) {
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -68,6 +68,10 @@
 	Recorder  Recorder
 	Closing   func() bool // Callers are to open new connections elsewhere.
 	Log       zerolog.Logger
+
+	// CallFailed is called when a request that the backend server beside the node
+	// made came to nothing.
+	CallFailed func()
 }
 
 // pass is a request between filters.
@@ -293,6 +297,9 @@
 func (i *Ingress) done(p *pass, status int, f *failure.Failure) {
 	took := time.Since(p.started)
 	i.Recorder.Done(p.route.Name, status, f, took)
+	if p.request.Order.Nested && (f != nil || status >= http.StatusInternalServerError) {
+		i.CallFailed()
+	}
 	if f == nil && status < http.StatusInternalServerError && took <= p.request.Order.Objective {
 		return
 	}
