Spread the loads of backend servers through scouts

A node that is known to refuse is not asked. An entry compares three nodes that it draws, since all know the same now. A refusal ends its stream without a second frame. What an entry's own requests showed no longer overwrites what the owner says.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -141,6 +141,22 @@
 	Failing float64       // Likelihood that the next request fails, 0 to 1.
 	Serving bool          // It takes requests.
 	Hold    time.Duration // Mean time that a request holds its slot; zero if unknown.
+	Trial   bool          // It is suspected and wants a request that may be repeated.
+}
+
+// Accepts tells whether a desk with this load lets a request begin or wait.
+func (l Load) Accepts(level order.Level, idempotent bool) bool {
+	switch {
+	case !l.Serving:
+		return false
+	case level == order.Trusted && l.Failing >= maxTrusted:
+		return idempotent && l.Trial
+	case level == order.Trusted:
+		return l.Waiting == 0 && l.Running < l.Slots
+	case level == order.Queued:
+		return l.Failing < maxQueued
+	}
+	return true
 }
 
 // Open lets requests in, to the given number of slots.
@@ -168,6 +184,7 @@
 		Running: len(d.running), Waiting: len(d.waiting), Slots: d.slots,
 		Failing: d.failing(now), Serving: d.open,
 	}
+	l.Trial = l.Failing >= maxTrusted && l.Running < l.Slots && d.trialDue(now)
 	if now.Sub(d.ended) < holdMemory {
 		l.Hold = d.hold
 	}
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -115,16 +115,24 @@
 // Neighbours returns the addresses of the nodes of the data centre with this
 // one, sorted.
 func (d *Discovery) Neighbours() []netip.AddrPort {
-	list := []netip.AddrPort{d.Self.Address}
+	return d.DataCentres()[d.Self.DataCentre]
+}
+
+// DataCentres returns the addresses of the nodes with this one, sorted, by data
+// centre. Nodes that leave are not among them.
+func (d *Discovery) DataCentres() map[string][]netip.AddrPort {
+	lists := map[string][]netip.AddrPort{d.Self.DataCentre: {d.Self.Address}}
 	d.mu.Lock()
 	for a, p := range d.known {
-		if p.presence.DataCentre == d.Self.DataCentre && !p.presence.Leaving {
-			list = append(list, a)
+		if !p.presence.Leaving {
+			lists[p.presence.DataCentre] = append(lists[p.presence.DataCentre], a)
 		}
 	}
 	d.mu.Unlock()
-	slices.SortFunc(list, netip.AddrPort.Compare)
-	return list
+	for _, list := range lists {
+		slices.SortFunc(list, netip.AddrPort.Compare)
+	}
+	return lists
 }
 
 // Start joins the fleet and keeps the record until ctx ends.
--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -97,18 +97,40 @@
 	d.ranking.Forget(a)
 }
 
+// Loads returns what is known of the loads of a data centre, or of all if it is
+// empty, and is not older than a limit.
+func (d *Dispatch) Loads(now time.Time, dataCentre string, limit time.Duration) []ranking.Known {
+	own := d.Host.Load(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranking.Hear(now, d.Self, own)
+	return d.ranking.Loads(now, dataCentre, limit)
+}
+
+// Learn takes in loads that other nodes told, with their ages at a moment.
+func (d *Dispatch) Learn(at time.Time, list []ranking.Known) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, k := range list {
+		if k.Address != d.Self {
+			d.ranking.Learn(at.Add(-k.Age), k.Address, k.Load)
+		}
+	}
+}
+
 // pick chooses a node and counts the request there.
 func (d *Dispatch) pick(o *order.Order, p step, exclude []netip.AddrPort) (netip.AddrPort, bool) {
+	now := time.Now()
+	own := d.Host.Load(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
-	d.ranking.Hear(now, d.Self, d.Host.Load(now))
+	d.ranking.Hear(now, d.Self, own)
 	to, ok := d.ranking.Pick(now, ranking.Choice{
-		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Free: p.level == order.Trusted, Unsure: p.level == order.Any,
+		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Level: p.level, Idempotent: o.Idempotent,
 		Exclude: exclude, Random: rand.Float64(),
 	})
 	if ok {
-		d.ranking.Sent(to)
+		d.ranking.Sent(now, to)
 	}
 	return to, ok
 }
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -47,14 +47,15 @@
 	offers int  // Most nodes that are asked.
 }
 
-// The steps of a request. One with a large body rather waits in its data centre
-// than crosses to another.
+// The steps of a request. Nodes that are known to refuse are not asked, so that
+// few offers reach one that has room. A request with a large body rather waits in
+// its data centre than crosses to another.
 var (
 	steps = []step{
-		{order.Trusted, true, 4}, {order.Trusted, false, 3}, {order.Queued, true, 2}, {order.Queued, false, 2}, {order.Any, false, 2},
+		{order.Trusted, true, 3}, {order.Trusted, false, 2}, {order.Queued, true, 2}, {order.Queued, false, 2}, {order.Any, false, 2},
 	}
 	largeSteps = []step{
-		{order.Trusted, true, 4}, {order.Queued, true, 3}, {order.Trusted, false, 2}, {order.Any, true, 2}, {order.Any, false, 1},
+		{order.Trusted, true, 3}, {order.Queued, true, 3}, {order.Trusted, false, 2}, {order.Any, true, 2}, {order.Any, false, 1},
 	}
 )
 
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -19,6 +19,7 @@
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/fleet/scout"
 	"filbertturn.example/filbertturn/internal/node/depot"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
@@ -34,10 +35,8 @@
 	// jitter spreads the questions of nodes whose proofs have the same age.
 	jitter = 100 * time.Millisecond
 
-	// consultTime is the time in which the scout must answer, and silentPause
-	// the time for which one that did not is passed over.
+	// consultTime is the time in which the scout must answer.
 	consultTime = 150 * time.Millisecond
-	silentPause = 3 * time.Second
 )
 
 // Follower follows one key of the depot.
@@ -55,12 +54,12 @@
 
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	fetching atomic.Bool
+	scout    scout.Scout
 
 	mu       sync.Mutex // Guards the fields below.
 	proof    freshness.Proof
-	value    []byte                       // The configuration as the operator wrote it.
-	revision int64                        // Revision of the key that was read last.
-	silent   map[netip.AddrPort]time.Time // Until when neighbours are not consulted.
+	value    []byte // The configuration as the operator wrote it.
+	revision int64  // Revision of the key that was read last.
 }
 
 // Snapshot returns the configuration, or nil before the first was read.
@@ -80,7 +79,7 @@
 	reachable := true
 	for ctx.Err() == nil {
 		now := time.Now()
-		scout := f.scout(now)
+		scout := f.scout.Choose(now, f.Neighbours(), f.Self, f.Self)
 		f.mu.Lock()
 		effect := f.proof.Tick(now, scout == f.Self)
 		wait := f.proof.Next(scout == f.Self).Sub(now)
@@ -100,19 +99,6 @@
 	}
 }
 
-// scout returns the neighbour to consult.
-func (f *Follower) scout(now time.Time) netip.AddrPort {
-	neighbours := f.Neighbours()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, a := range neighbours {
-		if a == f.Self || !now.Before(f.silent[a]) {
-			return a
-		}
-	}
-	return f.Self
-}
-
 // consult asks the scout for its stamp.
 func (f *Follower) consult(ctx context.Context, scout netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, consultTime)
@@ -124,12 +110,7 @@
 		err = proto.Unmarshal(reply, &m)
 	}
 	if err != nil {
-		f.mu.Lock()
-		if f.silent == nil {
-			f.silent = make(map[netip.AddrPort]time.Time)
-		}
-		f.silent[scout] = time.Now().Add(silentPause)
-		f.mu.Unlock()
+		f.scout.Silent(time.Now(), scout)
 		return
 	}
 	f.Hear(scout, asked, freshness.Stamp{Version: m.GetVersion(), Age: time.Duration(m.GetAgeNanos())})
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/node/bulletin"
 	"filbertturn.example/filbertturn/internal/node/depot"
 	"filbertturn.example/filbertturn/internal/node/discovery"
 	"filbertturn.example/filbertturn/internal/node/dispatch"
@@ -87,6 +88,7 @@
 	discovery *discovery.Discovery
 	host      *host.Host
 	dispatch  *dispatch.Dispatch
+	bulletin  *bulletin.Bulletin
 	quotas    *quotas.Quotas
 	metrics   *metrics.Metrics
 	closing   atomic.Bool
@@ -111,6 +113,10 @@
 		Self: s.Peers, DataCentre: s.DataCentre, Host: c.host, Courier: &courier.Courier{Mesh: c.mesh}, Terms: c.terms, Log: log,
 		Heard: c.follower.Hear,
 	}
+	c.bulletin = &bulletin.Bulletin{
+		Self: s.Peers, DataCentre: s.DataCentre, Mesh: c.mesh, DataCentres: c.discovery.DataCentres, Loads: c.dispatch,
+		Stamp: c.follower.Stamp, Heard: c.follower.Hear, Log: log,
+	}
 	c.quotas = &quotas.Quotas{
 		Self: s.Peers, Mesh: c.mesh, Nodes: c.discovery.Addresses, Snapshot: c.follower.Snapshot, Log: log,
 		Stamp: c.follower.Stamp, Heard: c.follower.Hear,
@@ -163,6 +169,8 @@
 		return c.follower.AnswerFreshness(time.Now())
 	case question.Configuration:
 		return c.follower.Answer(time.Now())
+	case question.Loads:
+		return c.bulletin.Answer(time.Now(), payload)
 	default:
 		return nil, fmt.Errorf("unknown question %d", kind)
 	}
@@ -192,6 +200,7 @@
 	}
 	go c.follower.Run(ctx)
 	c.discovery.Start(ctx, &c.timers)
+	c.bulletin.Start(ctx, &c.timers)
 	c.log.Info().Str("Name", c.settings.Name).Str("DataCentre", c.settings.DataCentre).Str("Service", c.settings.Service).
 		Stringer("Callers", c.settings.Callers).Stringer("Peers", c.settings.Peers).Dur("Took", time.Since(started)).Msg("node started")
 	var err error
--- a/internal/peer/courier/accept.go
+++ b/internal/peer/courier/accept.go
@@ -40,12 +40,18 @@
 	_ = stream.SetDeadline(o.Deadline.Add(linger))
 	in := newCommit(o, stream, cancel)
 	defer in.close()
+	refused := false
 	answer, err := host.Run(ctx, o, func(v Verdict) {
+		refused = v.Decision == Refused
 		_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Verdict{Verdict: &peerpb.Verdict{
 			Decision: uint32(v.Decision), RetryAfterNanos: int64(v.RetryAfter), Load: ToLoad(v.Load),
 			Freshness: ToFreshness(v.Stamp),
 		}}})
 	}, func() (io.Reader, error) { return in.wait(ctx) })
+	if refused {
+		// The verdict has said all.
+		return
+	}
 	if err != nil {
 		f := failure.From(err)
 		_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Failure{Failure: &peerpb.Failure{
--- a/internal/peer/courier/offer.go
+++ b/internal/peer/courier/offer.go
@@ -285,7 +285,7 @@
 func ToLoad(l booking.Load) *peerpb.Load {
 	return &peerpb.Load{
 		Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
-		Failing: float32(l.Failing), Serving: l.Serving, HoldNanos: int64(l.Hold),
+		Failing: float32(l.Failing), Serving: l.Serving, HoldNanos: int64(l.Hold), Trial: l.Trial,
 	}
 }
 
@@ -293,6 +293,6 @@
 func FromLoad(l *peerpb.Load) booking.Load {
 	return booking.Load{
 		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()),
-		Failing: float64(l.GetFailing()), Serving: l.GetServing(), Hold: time.Duration(l.GetHoldNanos()),
+		Failing: float64(l.GetFailing()), Serving: l.GetServing(), Hold: time.Duration(l.GetHoldNanos()), Trial: l.GetTrial(),
 	}
 }
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -18,4 +18,5 @@
 	Tokens                        // Tokens of a customer's limit, one request at a time.
 	Freshness                     // Version and proof of the configuration that the peer runs.
 	Configuration                 // The configuration that the peer runs.
+	Loads                         // Loads of backend servers; answered with those that the peer knows.
 )
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/request/order"
 )
 
 const (
@@ -33,19 +34,23 @@
 	slowCost = 0.4
 	maxSlow  = 4.0
 
-	// shuffle spreads the choices of entries that know the same, and lets one of
-	// which nothing is known be chosen beside those that did well.
+	// trialCost is what it costs that a backend server which wants a trial may fail
+	// it. It is low enough for one to be tried while others have room.
+	trialCost = 0.3
+
+	// shuffle lets a node of which little is known be chosen beside those that did
+	// well.
 	shuffle = 0.2
 
+	// sampleSize is the number of nodes that are drawn and compared. Entries that
+	// know the same would all choose the best one of all.
+	sampleSize = 3
+
 	// firstPause and maxPause bound the time for which a way that failed is
 	// avoided. The pause doubles with each failure.
 	firstPause = 500 * time.Millisecond
 	maxPause   = 8 * time.Second
 
-	// fullTime is the time for which a node that was full is not offered what
-	// must not wait.
-	fullTime = 300 * time.Millisecond
-
 	// askAgain is the time after which a node that served nothing is asked again.
 	askAgain = 2 * time.Second
 )
@@ -62,18 +67,29 @@
 	Service    string
 	DataCentre string // Where the request is.
 	Near       bool   // Only nodes of that data centre.
-	Free       bool   // Only nodes that were not full a moment ago.
-	Unsure     bool   // Ways that failed lately may be tried.
+	Level      order.Level
+	Idempotent bool
 	Exclude    []netip.AddrPort
 	Random     float64 // From 0 to 1.
 }
 
+// Known is what is known of the load of a node's backend server.
+type Known struct {
+	Address netip.AddrPort
+	Load    booking.Load
+	Age     time.Duration // Since the node said so.
+}
+
 // candidate is what is known of a node.
 type candidate struct {
 	node     Node
 	load     booking.Load
-	heard    time.Time
+	heard    time.Time // Moment for which the load holds.
 	inFlight int
+	added    int       // Requests sent since the load was heard.
+	sent     time.Time // Time of the last of them.
+	doubt    float64   // Likelihood of failure that requests of this entry showed,
+	doubted  time.Time // and when they did.
 	misses   int
 	avoided  time.Time // Until when its way is avoided.
 }
@@ -105,15 +121,41 @@
 	r.order = slices.DeleteFunc(r.order, func(b netip.AddrPort) bool { return a == b })
 }
 
-// Hear takes in what a node said of its backend server. It also proves that the
-// way to it works.
+// Hear takes in what a node said of its backend server in reply to this one. It
+// also proves that the way to it works.
 func (r *Ranking) Hear(now time.Time, a netip.AddrPort, l booking.Load) {
 	if c := r.nodes[a]; c != nil {
-		c.load, c.heard = l, now
+		c.load, c.heard, c.added, c.doubt = l, now, 0, 0
 		c.misses, c.avoided = 0, time.Time{}
 	}
 }
 
+// Learn takes in what a node said to others at a moment, unless it is older than
+// what is known.
+func (r *Ranking) Learn(at time.Time, a netip.AddrPort, l booking.Load) {
+	c := r.nodes[a]
+	if c == nil || !at.After(c.heard) {
+		return
+	}
+	c.load, c.heard = l, at
+	if at.After(c.sent) {
+		c.added = 0
+	}
+}
+
+// Loads returns what is known of the nodes of a data centre, or of all if it is
+// empty, and is not older than a limit.
+func (r *Ranking) Loads(now time.Time, dataCentre string, limit time.Duration) []Known {
+	var list []Known
+	for _, a := range r.order {
+		c := r.nodes[a]
+		if age := now.Sub(c.heard); age <= limit && (dataCentre == "" || c.node.DataCentre == dataCentre) {
+			list = append(list, Known{Address: a, Load: c.load, Age: max(age, 0)})
+		}
+	}
+	return list
+}
+
 // Miss notes that a node did not react in time.
 func (r *Ranking) Miss(now time.Time, a netip.AddrPort) {
 	c := r.nodes[a]
@@ -128,15 +170,17 @@
 // Fail notes that a request which the node took came to nothing on its way.
 func (r *Ranking) Fail(now time.Time, a netip.AddrPort) {
 	if c := r.nodes[a]; c != nil {
-		c.load.Failing += (1 - c.load.Failing) * 0.5
-		c.heard = now
+		c.doubt += (1 - c.doubt) * 0.5
+		c.doubted = now
 	}
 }
 
 // Sent and Done count the requests of this entry at a node.
-func (r *Ranking) Sent(a netip.AddrPort) {
+func (r *Ranking) Sent(now time.Time, a netip.AddrPort) {
 	if c := r.nodes[a]; c != nil {
 		c.inFlight++
+		c.added++
+		c.sent = now
 	}
 }
 
@@ -147,35 +191,53 @@
 	}
 }
 
-// Pick returns the node with the least cost.
+// Pick returns the node with the least cost of some that are drawn among those
+// that are likely to accept the request.
 func (r *Ranking) Pick(now time.Time, w Choice) (netip.AddrPort, bool) {
-	var best netip.AddrPort
-	least := math.Inf(1)
+	type option struct {
+		address netip.AddrPort
+		draw    float64
+		cost    float64
+	}
+	var options []option
 	fastest := r.fastest(w.Service)
 	for i, a := range r.order {
 		c := r.nodes[a]
-		if c.node.Service != w.Service || w.Near && c.node.DataCentre != w.DataCentre || slices.Contains(w.Exclude, a) || !w.Unsure && now.Before(c.avoided) {
-			continue
-		}
-		if w.Free && c.full() && now.Sub(c.heard) < fullTime {
+		if !c.eligible(now, w) || slices.Contains(w.Exclude, a) {
 			continue
 		}
-		if !c.load.Serving && !c.heard.IsZero() && now.Sub(c.heard) < askAgain {
-			continue
-		}
-		cost := c.cost(now, w) + c.slowness(fastest)*c.fresh(now) + shuffle*w.draw(i)
-		if cost < least {
-			best, least = a, cost
-		}
+		draw, luck := w.draws(i)
+		cost := c.cost(now, w) + c.slowness(fastest)*c.fresh(now) + shuffle*luck
+		options = append(options, option{a, draw, cost})
+	}
+	if len(options) == 0 {
+		return netip.AddrPort{}, false
 	}
-	return best, !math.IsInf(least, 1)
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.draw, b.draw) })
+	sample := options[:min(len(options), sampleSize)]
+	return slices.MinFunc(sample, func(a, b option) int { return cmp.Compare(a.cost, b.cost) }).address, true
 }
 
-// draw returns a number from 0 to 1 for a place of the order. Those of two places
-// are independent, or some nodes would never be chosen beside others.
-func (w Choice) draw(place int) float64 {
+// eligible tells whether a node may be asked.
+func (c *candidate) eligible(now time.Time, w Choice) bool {
+	age := now.Sub(c.heard)
+	switch {
+	case c.node.Service != w.Service || w.Near && c.node.DataCentre != w.DataCentre:
+		return false
+	case w.Level != order.Any && now.Before(c.avoided):
+		return false
+	case !c.load.Serving:
+		return c.heard.IsZero() || age >= askAgain
+	}
+	return age >= memory || c.load.Accepts(w.Level, w.Idempotent)
+}
+
+// draws returns two numbers from 0 to 1 for a place of the order. Those of two
+// places are independent, or some nodes would never be chosen beside others.
+func (w Choice) draws(place int) (float64, float64) {
 	source := rand.NewPCG(math.Float64bits(w.Random), uint64(place))
-	return float64(source.Uint64()>>11) / (1 << 53)
+	uniform := func() float64 { return float64(source.Uint64()>>11) / (1 << 53) }
+	return uniform(), uniform()
 }
 
 // fastest returns the least time that a backend server of the service holds a
@@ -199,7 +261,11 @@
 
 func (c *candidate) cost(now time.Time, w Choice) float64 {
 	cost := max(c.busy(now), float64(c.inFlight)/float64(max(c.load.Slots, 1)))
-	cost += failingCost * c.load.Failing * c.fresh(now)
+	if w.Idempotent && c.load.Trial && c.doubt == 0 {
+		cost += trialCost
+	} else {
+		cost += failingCost * max(c.load.Failing*c.fresh(now), c.doubt*faded(now.Sub(c.doubted)))
+	}
 	if c.node.DataCentre != w.DataCentre {
 		cost += farCost
 	}
@@ -212,21 +278,21 @@
 	return cost
 }
 
-// full tells whether all slots were taken when the node was heard.
-func (c *candidate) full() bool {
-	return c.load.Slots > 0 && c.load.Running+c.load.Waiting >= c.load.Slots
-}
-
 // fresh tells how much of what was heard still counts, from 1 to 0.
 func (c *candidate) fresh(now time.Time) float64 {
-	return max(0, 1-float64(now.Sub(c.heard))/float64(memory))
+	return faded(now.Sub(c.heard))
+}
+
+// faded tells how much of what was learnt some time ago still counts.
+func faded(age time.Duration) float64 {
+	return max(0, 1-float64(age)/float64(memory))
 }
 
 func (c *candidate) busy(now time.Time) float64 {
 	if c.load.Slots == 0 {
 		return unknownBusy
 	}
-	heard := float64(c.load.Running+c.load.Waiting) / float64(c.load.Slots)
+	heard := float64(c.load.Running+c.load.Waiting+c.added) / float64(c.load.Slots)
 	f := c.fresh(now)
 	return f*heard + (1-f)*unknownBusy
 }
--- a/internal/route/ranking/ranking_test.go
+++ b/internal/route/ranking/ranking_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/request/order"
 	"filbertturn.example/filbertturn/internal/route/ranking"
 )
 
@@ -54,7 +56,7 @@
 	for _, tt := range tests {
 		for _, random := range []float64{0, 0.3, 0.7, 0.99} {
 			w := tt.choice
-			w.Service, w.DataCentre, w.Random = "s", "a", random
+			w.Service, w.DataCentre, w.Random, w.Level = "s", "a", random, order.Queued
 			if got, ok := three(tt.loads...).Pick(now, w); !ok || got != tt.want {
 				t.Errorf("%s: got %s, want %s", tt.desc, got, tt.want)
 			}
@@ -78,7 +80,7 @@
 	if _, ok := r.Pick(now.Add(1200*time.Millisecond), w); ok {
 		t.Error("after the second time: got the node, want none")
 	}
-	w.Unsure = true
+	w.Level = order.Any
 	if _, ok := r.Pick(now.Add(1200*time.Millisecond), w); !ok {
 		t.Error("with no other left: got none, want the node")
 	}
@@ -133,3 +135,65 @@
 		}
 	}
 }
+
+// TestRanking_Pick_accepted answers an overload: nodes that would refuse are not
+// asked, and those that a moment ago had room for one request do not get all.
+func TestRanking_Pick_accepted(t *testing.T) {
+	failing, trial := load(0, 0.3), load(0, 0.3)
+	trial.Trial = true
+	tests := []struct {
+		desc       string
+		loads      []booking.Load
+		level      order.Level
+		idempotent bool
+		want       []netip.AddrPort
+	}{
+		{"full, must not wait", []booking.Load{load(3, 0), load(3, 0), load(1, 0)}, order.Trusted, false, []netip.AddrPort{far}},
+		{"full, may wait", []booking.Load{load(3, 0), load(4, 0), load(4, 0)}, order.Queued, false, []netip.AddrPort{near}},
+		{"suspected", []booking.Load{failing, trial, load(2, 0)}, order.Trusted, false, []netip.AddrPort{far}},
+		{"suspected, may be repeated", []booking.Load{failing, trial, load(2, 0)}, order.Trusted, true, []netip.AddrPort{same}},
+		{"none", []booking.Load{load(3, 0), failing, failing}, order.Trusted, false, nil},
+	}
+	for _, tt := range tests {
+		r := three(tt.loads...)
+		for i := range 100 {
+			a, ok := r.Pick(now, ranking.Choice{Service: "s", DataCentre: "a", Level: tt.level, Idempotent: tt.idempotent, Random: float64(i) / 100})
+			if ok != (tt.want != nil) || ok && !slices.Contains(tt.want, a) {
+				t.Fatalf("%s: got %s, %t, want one of %v", tt.desc, a, ok, tt.want)
+			}
+		}
+	}
+	r := three(load(1, 0), load(0, 0), load(3, 0))
+	counts := map[netip.AddrPort]int{}
+	for i := range 4 {
+		a, ok := r.Pick(now, ranking.Choice{Service: "s", DataCentre: "a", Random: float64(i) / 4})
+		if ok {
+			r.Sent(now, a)
+			counts[a]++
+		}
+	}
+	if counts[near] == 0 || counts[same] == 0 {
+		t.Errorf("got %v in a row from one entry, want both near nodes", counts)
+	}
+}
+
+// TestRanking_Learn checks that what others were told counts as of the moment at
+// which it was said.
+func TestRanking_Learn(t *testing.T) {
+	r := three(load(0, 0), load(1, 0), load(1, 0))
+	r.Learn(now.Add(-time.Second), near, load(3, 0))
+	w := ranking.Choice{Service: "s", DataCentre: "a", Level: order.Queued}
+	if got, _ := r.Pick(now, w); got != near {
+		t.Errorf("after older news: got %s, want %s", got, near)
+	}
+	r.Learn(now.Add(time.Millisecond), near, load(3, 0))
+	if got, _ := r.Pick(now.Add(time.Millisecond), w); got != same {
+		t.Errorf("after newer news: got %s, want %s", got, same)
+	}
+	if got := r.Loads(now.Add(time.Second), "a", time.Second); len(got) != 2 || got[0].Age != 999*time.Millisecond || got[0].Load.Running != 3 {
+		t.Errorf("got %+v, want both near nodes with their ages", got)
+	}
+	if got := r.Loads(now.Add(time.Second), "", 999*time.Millisecond); len(got) != 1 || got[0].Address != near {
+		t.Errorf("got %+v, want what is recent", got)
+	}
+}
