Do not take requests that wait for calls for ones that hang

Suspected ones let nothing wait, so that 300 charges queued at the others beside 140 free slots. And the requests that accept the risk filled all slots of what really hangs, so that it could not be tried again.

The working time of a desk goes on at the pace of the part of its requests that do not wait for calls; ages, usual times and evidence count it. Requests that accept the risk take at most half of the slots of a suspected backend server. TestDesk_CallStarted, TestDesk_Enter_risked.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -106,11 +106,12 @@
 type run struct {
 	ticket  Ticket
 	started time.Time
+	begun   time.Duration // Working time of the desk at which it started.
 	overdue bool
 	trial   bool
 }
 
-// mean is the mean time of a route's answers.
+// mean is the mean working time of a route's answers.
 type mean struct {
 	value   time.Duration
 	samples int
@@ -127,7 +128,10 @@
 	hold      time.Duration // Mean time that a request holds its slot.
 	ended     time.Time     // Time of the last answer.
 	means     map[string]*mean
-	observed  time.Time // Until when suspicion has seen the requests that run.
+	observed  time.Duration // Working time until which suspicion has seen the requests that run.
+	worked    time.Duration // Working time, see work,
+	workedAt  time.Time     // and the moment that it holds for.
+	calls     int           // Calls of the backend server that are under way.
 	nextTrial time.Time
 	failures  int         // Trials in a row that failed.
 	excuses   []time.Time // Times of the calls that failed and that no request ended for yet.
@@ -156,7 +160,14 @@
 	case level == order.Queued:
 		return l.Failing < maxQueued
 	}
-	return true
+	return l.Failing < maxQueued || l.Running < risked(l.Slots)
+}
+
+// risked is the number of slots of a suspected backend server that requests take
+// which accept the risk. What hangs must not take the slots of those that try
+// whether it goes on.
+func risked(slots int) int {
+	return (slots + 1) / 2
 }
 
 // Open lets requests in, to the given number of slots.
@@ -199,18 +210,46 @@
 
 // observe takes in how long the requests that run have not ended.
 func (d *Desk) observe(now time.Time) {
+	worked := d.work(now)
 	expected := 0.0
 	for _, r := range d.running {
 		usual := float64(d.usual(r.ticket))
-		from := max(d.observed.Sub(r.started), 0)
-		expected += suspicion.Expected(float64(from)/usual, float64(now.Sub(r.started))/usual)
-	}
-	if now.After(d.observed) {
-		d.observed = now
+		from := max(d.observed-r.begun, 0)
+		expected += suspicion.Expected(float64(from)/usual, float64(worked-r.begun)/usual)
 	}
+	d.observed = max(d.observed, worked)
 	d.suspicion.Waited(now, max(expected, 0))
 }
 
+// work returns the working time of the desk. It goes on at the pace of the part of
+// the requests that do not wait for calls which the backend server made: which
+// request made a call is not known.
+func (d *Desk) work(now time.Time) time.Duration {
+	passed := max(now.Sub(d.workedAt), 0)
+	if n := len(d.running); n > 0 && passed > 0 {
+		d.worked += passed * time.Duration(n-min(d.calls, n)) / time.Duration(n)
+	}
+	if now.After(d.workedAt) {
+		d.workedAt = now
+	}
+	return d.worked
+}
+
+// CallStarted notes a call that the backend server makes for one of its requests.
+func (d *Desk) CallStarted(now time.Time) {
+	d.work(now)
+	d.calls++
+}
+
+// CallEnded notes the end of such a call, and whether it came to something.
+func (d *Desk) CallEnded(now time.Time, answered bool) {
+	d.work(now)
+	d.calls--
+	if !answered && len(d.excuses) < len(d.running) {
+		d.excuses = append(d.excuses, now)
+	}
+}
+
 // Enter asks for a slot.
 func (d *Desk) Enter(now time.Time, t Ticket) []Effect {
 	effects := d.Tick(now)
@@ -230,6 +269,8 @@
 		return []Effect{d.refuse(t)}
 	case t.Level == order.Queued && suspect >= maxQueued:
 		return []Effect{d.refuse(t)}
+	case suspect >= maxQueued && len(d.running) >= risked(d.slots):
+		return []Effect{d.refuse(t)}
 	case free > 0 && len(d.waiting) == 0:
 		return []Effect{d.start(now, t, false)}
 	case t.Level == order.Trusted:
@@ -349,7 +390,7 @@
 	if d.running == nil {
 		d.running = make(map[uint64]*run)
 	}
-	d.running[t.ID] = &run{ticket: t, started: now, trial: trial}
+	d.running[t.ID] = &run{ticket: t, started: now, begun: d.work(now), trial: trial}
 	if trial {
 		d.nextTrial = now.Add(min(firstTrialPause<<min(d.failures, 8), maxTrialPause))
 	}
@@ -369,10 +410,9 @@
 	}
 	d.observe(now)
 	delete(d.running, id)
-	took := now.Sub(r.started)
 	switch o {
 	case Answered:
-		d.answered(now, r, took)
+		d.answered(now, r)
 		d.suspicion.Good(now)
 		if r.trial {
 			d.failures, d.nextTrial = 0, now
@@ -400,14 +440,6 @@
 	d.trialFailed(r)
 }
 
-// CallFailed notes that a call which the backend server made came to nothing. The
-// request that made it is not known.
-func (d *Desk) CallFailed(now time.Time) {
-	if len(d.excuses) < len(d.running) {
-		d.excuses = append(d.excuses, now)
-	}
-}
-
 // excused tells whether an error may be that of a failed call, which explains no
 // other error then.
 func (d *Desk) excused(now time.Time) bool {
@@ -425,12 +457,13 @@
 	}
 }
 
-func (d *Desk) answered(now time.Time, r *run, took time.Duration) {
+func (d *Desk) answered(now time.Time, r *run) {
 	d.ended = now
-	d.hold = smooth(d.holdTime(), took)
+	d.hold = smooth(d.holdTime(), now.Sub(r.started))
 	if d.means == nil {
 		d.means = make(map[string]*mean)
 	}
+	took := d.work(now) - r.begun
 	m := d.means[r.ticket.Route]
 	if m == nil {
 		m = &mean{value: took}
@@ -449,7 +482,7 @@
 func (d *Desk) Tick(now time.Time) []Effect {
 	hangs := false
 	for _, r := range d.running {
-		if now.Sub(r.started) >= d.overdueAge(r.ticket) {
+		if d.work(now)-r.begun >= d.overdueAge(r.ticket) {
 			r.overdue = true
 		}
 		hangs = hangs || r.overdue
@@ -470,7 +503,7 @@
 	}
 	for _, r := range d.running {
 		if !r.overdue {
-			sooner(r.started.Add(d.overdueAge(r.ticket)))
+			sooner(d.workedAt.Add(d.overdueAge(r.ticket) - (d.worked - r.begun)))
 		}
 	}
 	for _, t := range d.waiting {
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -254,9 +254,9 @@
 	}
 }
 
-// TestDesk_CallFailed answers an overload of a service that others call: a backend
+// TestDesk_CallEnded answers an overload of a service that others call: a backend
 // server whose calls fail answers with errors and is not itself at fault.
-func TestDesk_CallFailed(t *testing.T) {
+func TestDesk_CallEnded(t *testing.T) {
 	const step = 50 * time.Millisecond
 	tests := []struct {
 		desc  string
@@ -275,7 +275,8 @@
 		for id := range uint64(4) {
 			d.Enter(now, ticket(id, order.Trusted))
 			for range tt.calls {
-				d.CallFailed(now)
+				d.CallStarted(now)
+				d.CallEnded(now, false)
 			}
 			now = now.Add(tt.pause)
 			d.Leave(now, id, booking.Errored)
@@ -284,3 +285,54 @@
 		expect(t, tt.desc, d.Enter(now, ticket(9, order.Trusted)), tt.want)
 	}
 }
+
+// TestDesk_CallStarted answers an overload of a service that others call: requests
+// that wait for calls are no sign of a backend server that hangs, and those that
+// wait for nothing are.
+func TestDesk_CallStarted(t *testing.T) {
+	tests := []struct {
+		desc  string
+		calls int // Calls under way while three requests run.
+		want  string
+	}{
+		{"all wait for calls", 3, "start 9;"},
+		{"none waits for a call", 0, "refuse 9;"},
+		{"one waits for a call", 1, "refuse 9;"},
+	}
+	for _, tt := range tests {
+		d := open(4)
+		for id := range uint64(3) {
+			d.Enter(at(0), ticket(id, order.Trusted))
+		}
+		for range tt.calls {
+			d.CallStarted(at(10 * time.Millisecond))
+		}
+		for ms := 20; ms < 300; ms += 20 {
+			d.Tick(at(time.Duration(ms) * time.Millisecond))
+		}
+		expect(t, tt.desc, d.Enter(at(300*time.Millisecond), ticket(9, order.Trusted)), tt.want)
+	}
+	d := open(4)
+	for id := range uint64(3) {
+		d.Enter(at(0), ticket(id, order.Trusted))
+		d.CallStarted(at(0))
+	}
+	for range 3 {
+		d.CallEnded(at(300*time.Millisecond), true)
+	}
+	expect(t, "just after the calls", d.Enter(at(310*time.Millisecond), ticket(8, order.Trusted)), "start 8;")
+	expect(t, "long after the calls", d.Enter(at(600*time.Millisecond), ticket(9, order.Trusted)), "refuse 9;")
+}
+
+// TestDesk_Enter_risked answers a backend server that hangs while no other has
+// room: requests that accept the risk leave room for those that try it.
+func TestDesk_Enter_risked(t *testing.T) {
+	d := open(4)
+	for id := range uint64(2) {
+		d.Enter(at(0), ticket(id, order.Trusted))
+	}
+	expect(t, "hangs, half of the slots taken", d.Enter(at(400*time.Millisecond), ticket(8, order.Any)), "refuse 8;")
+	trial := ticket(9, order.Trusted)
+	trial.Idempotent = true
+	expect(t, "trial", d.Enter(at(410*time.Millisecond), trial), "start 9;")
+}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -323,11 +323,17 @@
 	h.deliver(h.desk.Leave(time.Now(), id, o))
 }
 
-// CallFailed notes that a call which the backend server made came to nothing.
-func (h *Host) CallFailed() {
+// Call notes a call that the backend server makes, and returns what to tell of
+// its end.
+func (h *Host) Call() func(answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.desk.CallFailed(time.Now())
+	h.desk.CallStarted(time.Now())
+	return func(answered bool) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.desk.CallEnded(time.Now(), answered)
+	}
 }
 
 // suspend takes an incarnation out of service that no connection reaches, until
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -69,9 +69,9 @@
 	Closing   func() bool // Callers are to open new connections elsewhere.
 	Log       zerolog.Logger
 
-	// CallFailed is called when a request that the backend server beside the node
-	// made came to nothing.
-	CallFailed func()
+	// Call is called when the backend server beside the node makes a request, and
+	// what it returns when that ends.
+	Call func() (ended func(answered bool))
 }
 
 // pass is a request between filters.
@@ -84,6 +84,7 @@
 	customer set.Customer
 	deadline time.Time
 	request  dispatch.Request
+	ended    func(answered bool) // Nil if it is not a call of the backend server.
 }
 
 // filter lets a request on or refuses it with a *failure.Failure.
@@ -120,6 +121,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	i.order(p)
+	if p.request.Order.Nested {
+		p.ended = i.Call()
+	}
 	answer, err := i.Forwarder.Forward(ctx, &p.request)
 	return answer, cancel, err
 }
@@ -297,8 +301,8 @@
 func (i *Ingress) done(p *pass, status int, f *failure.Failure) {
 	took := time.Since(p.started)
 	i.Recorder.Done(p.route.Name, status, f, took)
-	if p.request.Order.Nested && (f != nil || status >= http.StatusInternalServerError) {
-		i.CallFailed()
+	if p.ended != nil {
+		p.ended(f == nil && status < http.StatusInternalServerError)
 	}
 	if f == nil && status < http.StatusInternalServerError && took <= p.request.Order.Objective {
 		return
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -223,7 +223,7 @@
 func (c *Sidecar) listen() error {
 	callers := &ingress.Ingress{
 		Service: c.settings.Service, Dialect: c.ports.Dialect, Snapshot: c.follower.Snapshot, Limiter: c.quotas,
-		Forwarder: c.dispatch, Recorder: c, Closing: c.closing.Load, Log: c.log, CallFailed: c.host.CallFailed,
+		Forwarder: c.dispatch, Recorder: c, Closing: c.closing.Load, Log: c.log, Call: c.host.Call,
 	}
 	c.gauges()
 	for _, l := range []struct {
