Trust a backend server again after two answers

Cause: a backend server that hangs hangs nearly all of its requests, so that one answer says much; yet evidence against it grew without need while it hung, and four answers, tried one at a time and up to 1.5 s apart, were needed to make up for it.

The greatest evidence is now made up for by two answers, an answer counts for more, and trials that fail are at most 0.8 s apart. TestSuspicion_Good failed before.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -22,7 +22,7 @@
 	// firstTrialPause and maxTrialPause bound the time between two such requests
 	// while they fail. It doubles with each failure.
 	firstTrialPause = 500 * time.Millisecond
-	maxTrialPause   = 1500 * time.Millisecond
+	maxTrialPause   = 800 * time.Millisecond
 
 	// overdueFactor times the mean time of a route's answers is the age at which
 	// a request counts as hanging.
--- a/internal/health/suspicion/suspicion.go
+++ b/internal/health/suspicion/suspicion.go
@@ -11,7 +11,7 @@
 const (
 	base    = -2.9 // Odds of a backend server of which nothing is known: one in nineteen.
 	lowest  = -1.8 // Least sum: a failure may have begun just now, whatever came before.
-	highest = 6.0  // Greatest sum.
+	highest = 3.6  // Greatest sum: two answers after a failure ended make up for it.
 
 	// failure is what an error adds: a failing backend server answers half of its
 	// requests so, and others about one in twelve, mostly for calls that failed.
@@ -24,7 +24,7 @@
 	halfLife = 2500 * time.Millisecond
 
 	// hangPart is the part of its requests that a hanging backend server hangs.
-	hangPart = 0.75
+	hangPart = 0.85
 
 	// ageExponent shapes how rare long requests are among good ones: about one
 	// in three takes longer than the mean, and one in seventeen twice as long.
--- a/internal/health/suspicion/suspicion_test.go
+++ b/internal/health/suspicion/suspicion_test.go
@@ -69,6 +69,24 @@
 	}
 }
 
+// TestSuspicion_Good answers a backend server that hung for long and is well again:
+// two answers in a row are enough to trust it, and one is not.
+func TestSuspicion_Good(t *testing.T) {
+	var s suspicion.Suspicion
+	now := time.Unix(1000, 0)
+	for range 20 {
+		s.Waited(now, 5)
+	}
+	s.Good(now)
+	if got := s.Value(now); got < 0.2 {
+		t.Errorf("after one answer: got %.2f, want at least 0.2", got)
+	}
+	s.Good(now)
+	if got := s.Value(now); got >= 0.2 {
+		t.Errorf("after two answers: got %.2f, want less than 0.2", got)
+	}
+}
+
 func ExampleSuspicion() {
 	var s suspicion.Suspicion
 	for range 3 {
