Let calls of backend servers wait for one objective

Cause: where a service that others call has no room its queues are always full, and each call waits as long as its patience lets it: 1.6 s, twice in a row, while its caller holds a slot and runs late. What is answered does not grow with the wait.

A call now waits for its objective or a sixth of what its caller has left, where it was twice that. TestIngress_ServeHTTP_patience failed before.

--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -33,13 +33,10 @@
 // objectivePart of its timeout is the objective of a route that has none.
 const objectivePart = 0.25
 
-// A nested request waits for a slot for nestedPatience times its objective, or for
-// one nestedPart of the time that its caller has left if that is longer. The
-// backend server that waits for it holds a slot of its own, and would be late.
-const (
-	nestedPatience = 2
-	nestedPart     = 3
-)
+// A nested request waits for a slot for its objective, or for one nestedPart of the
+// time that its caller has left if that is longer. The backend server that waits for
+// it holds a slot of its own, and what waits longer keeps out what is still in time.
+const nestedPart = 6
 
 // Limiter admits requests of customers.
 type Limiter interface {
@@ -224,7 +221,7 @@
 	o.Due = p.started.Add(o.Objective)
 	o.Patience = o.Due
 	if o.Nested {
-		o.Patience = p.started.Add(max(nestedPatience*o.Objective, p.deadline.Sub(p.started)/nestedPart))
+		o.Patience = p.started.Add(max(o.Objective, p.deadline.Sub(p.started)/nestedPart))
 	}
 	if p.http.ContentLength != 0 {
 		p.request.Body = replay.New(p.http.Body)
