Refuse requests whose calls would be refused

Cause: a charge makes two calls to a service that has room for two thirds of them.

backend/overload estimates, beside each backend server, which part of its calls is refused for want of room, and refuses a part of the requests before they begin. That refusal is final, since another backend server of the service could not complete the request either, and carries a time to come back, spread as all such times are now. Calls themselves are never refused by it.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"filbertturn.example/filbertturn/internal/backend/overload"
 	"filbertturn.example/filbertturn/internal/health/suspicion"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
@@ -96,8 +97,19 @@
 type Refuse struct {
 	ID         uint64
 	RetryAfter time.Duration // Time after which a slot is expected.
+	Overloaded bool          // A service that it would call has no room: it is refused for good.
 }
 
+// CallEnd is how a call of the backend server ended.
+type CallEnd int
+
+// The ends of calls.
+const (
+	CallAnswered CallEnd = iota
+	CallFailed
+	CallRefused // It has not run for want of room.
+)
+
 func (Start) effect()  {}
 func (Wait) effect()   {}
 func (Refuse) effect() {}
@@ -135,6 +147,7 @@
 	nextTrial time.Time
 	failures  int         // Trials in a row that failed.
 	excuses   []time.Time // Times of the calls that failed and that no request ended for yet.
+	overload  overload.Gauge
 }
 
 // Load is what other nodes are told of a desk.
@@ -241,11 +254,12 @@
 	d.calls++
 }
 
-// CallEnded notes the end of such a call, and whether it came to something.
-func (d *Desk) CallEnded(now time.Time, answered bool) {
+// CallEnded notes the end of such a call.
+func (d *Desk) CallEnded(now time.Time, end CallEnd) {
 	d.work(now)
 	d.calls--
-	if !answered && len(d.excuses) < len(d.running) {
+	d.overload.CallEnded(now, end == CallRefused)
+	if end != CallAnswered && len(d.excuses) < len(d.running) {
 		d.excuses = append(d.excuses, now)
 	}
 }
@@ -272,6 +286,9 @@
 	case suspect >= maxQueued && len(d.running) >= risked(d.slots):
 		return []Effect{d.refuse(t)}
 	case free > 0 && len(d.waiting) == 0:
+		if d.overloaded(now, t) {
+			return []Effect{d.refuseForGood(t)}
+		}
 		return []Effect{d.start(now, t, false)}
 	case t.Level == order.Trusted:
 		return []Effect{d.refuse(t)}
@@ -308,6 +325,9 @@
 	if start := now.Add(d.wait(place)); d.moving() == 0 || !d.inTime(start, t) {
 		return []Effect{d.refuse(t)}
 	}
+	if d.overloaded(now, t) {
+		return []Effect{d.refuseForGood(t)}
+	}
 	var effects []Effect
 	if len(d.waiting) >= maxWaitingPerSlot*d.slots {
 		if !d.before(now, t, d.waiting[last]) {
@@ -401,6 +421,18 @@
 	return Refuse{ID: t.ID, RetryAfter: d.wait(len(d.waiting))}
 }
 
+// overloaded tells whether t is better not begun because calls find no room. Calls
+// themselves always begin: others wait for them.
+func (d *Desk) overloaded(now time.Time, t Ticket) bool {
+	return !t.Nested && d.overload.Refuse(now)
+}
+
+// refuseForGood refuses a request that other backend servers of the service could
+// not complete either.
+func (d *Desk) refuseForGood(t Ticket) Refuse {
+	return Refuse{ID: t.ID, RetryAfter: t.Objective, Overloaded: true}
+}
+
 // Leave gives a slot back, or ends the wait of a request.
 func (d *Desk) Leave(now time.Time, id uint64, o Outcome) []Effect {
 	r := d.running[id]
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -276,7 +276,7 @@
 			d.Enter(now, ticket(id, order.Trusted))
 			for range tt.calls {
 				d.CallStarted(now)
-				d.CallEnded(now, false)
+				d.CallEnded(now, booking.CallFailed)
 			}
 			now = now.Add(tt.pause)
 			d.Leave(now, id, booking.Errored)
@@ -318,7 +318,7 @@
 		d.CallStarted(at(0))
 	}
 	for range 3 {
-		d.CallEnded(at(300*time.Millisecond), true)
+		d.CallEnded(at(300*time.Millisecond), booking.CallAnswered)
 	}
 	expect(t, "just after the calls", d.Enter(at(310*time.Millisecond), ticket(8, order.Trusted)), "start 8;")
 	expect(t, "long after the calls", d.Enter(at(600*time.Millisecond), ticket(9, order.Trusted)), "refuse 9;")
@@ -336,3 +336,30 @@
 	trial.Idempotent = true
 	expect(t, "trial", d.Enter(at(410*time.Millisecond), trial), "start 9;")
 }
+
+// TestDesk_Enter_overloaded answers an overload of a service that others call: a
+// part of the requests is refused for good before they begin, and no call is.
+func TestDesk_Enter_overloaded(t *testing.T) {
+	d := open(3)
+	for range 60 {
+		d.CallStarted(at(0))
+		d.CallEnded(at(0), booking.CallRefused)
+	}
+	refused := 0
+	for id := range uint64(20) {
+		k := ticket(id, order.Trusted)
+		k.Nested = id%2 == 0
+		switch e := d.Enter(at(0), k)[0].(type) {
+		case booking.Refuse:
+			if k.Nested || !e.Overloaded || e.RetryAfter <= 0 {
+				t.Errorf("got %+v for request %d", e, id)
+			}
+			refused++
+		case booking.Start:
+			d.Leave(at(0), id, booking.Answered)
+		}
+	}
+	if refused < 6 || refused > 8 {
+		t.Errorf("got %d of 10 refused while all calls are, want 6 to 8", refused)
+	}
+}
--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -159,7 +159,7 @@
 	case kind.LostPeer:
 		d.ranking.Miss(now, to)
 		d.ranking.Fail(now, to)
-	case kind.NoCapacity, kind.CancelledByCaller, kind.DeadlineBeforeRun:
+	case kind.NoCapacity, kind.Overloaded, kind.CancelledByCaller, kind.DeadlineBeforeRun:
 	default:
 		d.ranking.Fail(now, to)
 	}
--- a/internal/node/dispatch/dispatch_test.go
+++ b/internal/node/dispatch/dispatch_test.go
@@ -31,6 +31,7 @@
 // owner is a node whose backend server ends each request alike.
 type owner struct {
 	refuse bool
+	depend bool      // It refuses because a service that it calls has no room.
 	kind   kind.Kind // Failure of its runs; Internal for none.
 	status int       // Status of its answers.
 	hang   bool
@@ -45,6 +46,11 @@
 		verdict(courier.Verdict{Decision: courier.Refused, Load: o.Load(time.Now())})
 		return nil, failure.New(kind.NoCapacity, "", nil)
 	}
+	if o.depend {
+		v := courier.Verdict{Decision: courier.Overloaded, RetryAfter: 200 * time.Millisecond, Load: o.Load(time.Now())}
+		verdict(v)
+		return nil, v.Failure()
+	}
 	verdict(courier.Verdict{Decision: courier.Accepted, Load: o.Load(time.Now())})
 	r, err := body()
 	if err != nil {
@@ -182,6 +188,21 @@
 	}
 }
 
+// TestDispatch_Forward_overloaded checks that a request which another owner could
+// not complete either is refused at once, with a time to come back.
+func TestDispatch_Forward_overloaded(t *testing.T) {
+	second := &owner{status: 200}
+	d := newDispatch(t, &owner{depend: true}, second)
+	_, err := d.Forward(t.Context(), newRequest(false, "body"))
+	f := failure.From(err)
+	if f.Kind != kind.Overloaded || f.RetryAfter < 200*time.Millisecond || f.RetryAfter > 300*time.Millisecond {
+		t.Errorf("got %v and to come back after %s, want the refusal with its time, spread", err, f.RetryAfter)
+	}
+	if got := second.ran.Load(); got != 0 {
+		t.Errorf("got %d runs at the second owner, want none", got)
+	}
+}
+
 // TestDispatch_Forward_refused checks that a request which no node takes is
 // refused at once, with a time to come back and the word that it has not run.
 func TestDispatch_Forward_refused(t *testing.T) {
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -94,8 +94,8 @@
 func (s *sending) finish(o outcome) (*exchange.Answer, error) {
 	if o.err != nil {
 		o.release()
-		if o.err.Kind.NotRun() && o.err.RetryAfter == 0 {
-			o.err.RetryAfter = s.retryAfter()
+		if o.err.Kind.NotRun() {
+			o.err.RetryAfter = s.retryAfter(o.err)
 		}
 		return nil, o.err
 	}
@@ -103,10 +103,16 @@
 	return o.answer, nil
 }
 
-func (s *sending) retryAfter() time.Duration {
+// retryAfter returns the time to come back: the one that the failure names, or the
+// least that a node told.
+func (s *sending) retryAfter(f *failure.Failure) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	base := max(s.soonest, leastRetryAfter)
+	base := f.RetryAfter
+	if base == 0 {
+		base = s.soonest
+	}
+	base = max(base, leastRetryAfter)
 	return base + time.Duration(spread*rand.Float64()*float64(base))
 }
 
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -20,7 +20,6 @@
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
-	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
 
@@ -204,7 +203,7 @@
 // Run implements courier.Host.
 func (h *Host) Run(ctx context.Context, o *order.Order, verdict func(courier.Verdict), body func() (io.Reader, error)) (*exchange.Answer, error) {
 	id, wait := h.enter(time.Now(), o)
-	if err := h.admit(ctx, id, wait, verdict); err != nil {
+	if err := h.admit(ctx, id, o, wait, verdict); err != nil {
 		return nil, err
 	}
 	x, err := h.begin(id, o)
@@ -290,7 +289,7 @@
 }
 
 // admit waits for a slot and tells the entry what becomes of its offer.
-func (h *Host) admit(ctx context.Context, id uint64, wait <-chan booking.Effect, verdict func(courier.Verdict)) error {
+func (h *Host) admit(ctx context.Context, id uint64, o *order.Order, wait <-chan booking.Effect, verdict func(courier.Verdict)) error {
 	for {
 		select {
 		case e := <-wait:
@@ -301,11 +300,14 @@
 			case booking.Wait:
 				verdict(courier.Verdict{Decision: courier.Waiting, Load: h.Load(time.Now()), Stamp: h.Stamp(time.Now())})
 			case booking.Refuse:
-				verdict(courier.Verdict{Decision: courier.Refused, RetryAfter: e.RetryAfter, Load: h.Load(time.Now()), Stamp: h.Stamp(time.Now())})
+				v := courier.Verdict{Decision: courier.Refused, RetryAfter: e.RetryAfter, Load: h.Load(time.Now()), Stamp: h.Stamp(time.Now())}
+				if e.Overloaded {
+					v.Decision = courier.Overloaded
+					h.Log.Info().Str("RequestID", o.ID).Str("Route", o.Route).Dur("RetryAfter", e.RetryAfter).Msg("refused because calls are")
+				}
+				verdict(v)
 				h.leave(id, booking.Abandoned)
-				f := failure.New(kind.NoCapacity, "", nil)
-				f.RetryAfter = e.RetryAfter
-				return f
+				return v.Failure()
 			}
 		case <-ctx.Done():
 			h.leave(id, booking.Abandoned)
@@ -325,14 +327,14 @@
 
 // Call notes a call that the backend server makes, and returns what to tell of
 // its end.
-func (h *Host) Call() func(answered bool) {
+func (h *Host) Call() func(booking.CallEnd) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.desk.CallStarted(time.Now())
-	return func(answered bool) {
+	return func(end booking.CallEnd) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.desk.CallEnded(time.Now(), answered)
+		h.desk.CallEnded(time.Now(), end)
 	}
 }
 
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
@@ -68,7 +69,7 @@
 
 	// Call is called when the backend server beside the node makes a request, and
 	// what it returns when that ends.
-	Call func() (ended func(answered bool))
+	Call func() (ended func(booking.CallEnd))
 }
 
 // pass is a request between filters.
@@ -81,7 +82,7 @@
 	customer set.Customer
 	deadline time.Time
 	request  dispatch.Request
-	ended    func(answered bool) // Nil if it is not a call of the backend server.
+	ended    func(booking.CallEnd) // Nil if it is not a call of the backend server.
 }
 
 // filter lets a request on or refuses it with a *failure.Failure.
@@ -293,13 +294,24 @@
 	return err
 }
 
+// callEnd tells how a request of the backend server ended.
+func callEnd(status int, f *failure.Failure) booking.CallEnd {
+	switch {
+	case f != nil && f.Kind == kind.NoCapacity:
+		return booking.CallRefused
+	case f != nil || status >= http.StatusInternalServerError:
+		return booking.CallFailed
+	}
+	return booking.CallAnswered
+}
+
 // done records the end of a request. Answers within the objective are counted
 // and not logged.
 func (i *Ingress) done(p *pass, status int, f *failure.Failure) {
 	took := time.Since(p.started)
 	i.Recorder.Done(p.route.Name, status, f, took)
 	if p.ended != nil {
-		p.ended(f == nil && status < http.StatusInternalServerError)
+		p.ended(callEnd(status, f))
 	}
 	if f == nil && status < http.StatusInternalServerError && took <= p.request.Order.Objective {
 		return
--- a/internal/node/ingress/ingress_test.go
+++ b/internal/node/ingress/ingress_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
@@ -26,7 +27,7 @@
 	remaining time.Duration // Time that callers wait.
 	orders    []order.Order
 	calls     int
-	ended     []bool
+	ended     []booking.CallEnd
 }
 
 func (p *ports) Caller(*http.Request) dialect.Caller {
@@ -46,9 +47,9 @@
 	return nil, failure.New(kind.NoCapacity, "", nil)
 }
 
-func (p *ports) call() func(bool) {
+func (p *ports) call() func(booking.CallEnd) {
 	p.calls++
-	return func(answered bool) { p.ended = append(p.ended, answered) }
+	return func(end booking.CallEnd) { p.ended = append(p.ended, end) }
 }
 
 func newIngress(p *ports) *ingress.Ingress {
@@ -85,8 +86,8 @@
 		if got := p.orders[0].Patience.Sub(before); got < tt.want || got > tt.want+100*time.Millisecond {
 			t.Errorf("%s: got a patience of %s, want %s", tt.desc, got, tt.want)
 		}
-		if p.calls != 1 || len(p.ended) != 1 || p.ended[0] {
-			t.Errorf("%s: got %d calls and the ends %v, want one that came to nothing", tt.desc, p.calls, p.ended)
+		if p.calls != 1 || len(p.ended) != 1 || p.ended[0] != booking.CallRefused {
+			t.Errorf("%s: got %d calls and the ends %v, want one that was refused", tt.desc, p.calls, p.ended)
 		}
 	}
 }
--- a/internal/peer/courier/accept.go
+++ b/internal/peer/courier/accept.go
@@ -42,7 +42,7 @@
 	defer in.close()
 	refused := false
 	answer, err := host.Run(ctx, o, func(v Verdict) {
-		refused = v.Decision == Refused
+		refused = v.Failure() != nil
 		_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Verdict{Verdict: &peerpb.Verdict{
 			Decision: uint32(v.Decision), RetryAfterNanos: int64(v.RetryAfter), Load: ToLoad(v.Load),
 			Freshness: ToFreshness(v.Stamp),
--- a/internal/peer/courier/offer.go
+++ b/internal/peer/courier/offer.go
@@ -38,6 +38,7 @@
 	Refused Decision = iota
 	Waiting
 	Accepted
+	Overloaded // Refused, and no other owner is to be asked: calls of the request would be refused.
 )
 
 // Verdict is an owner's word on an offer.
@@ -48,6 +49,21 @@
 	Stamp      freshness.Stamp // What the owner runs.
 }
 
+// Failure returns the failure that a refusal stands for, or nil.
+func (v Verdict) Failure() error {
+	k := kind.NoCapacity
+	switch v.Decision {
+	case Refused:
+	case Overloaded:
+		k = kind.Overloaded
+	default:
+		return nil
+	}
+	f := failure.New(k, "", nil)
+	f.RetryAfter = v.RetryAfter
+	return f
+}
+
 // Reply is the end of an offer: an answer, or an error of type
 // *failure.Failure.
 type Reply struct {
@@ -143,14 +159,12 @@
 			l := FromLoad(body.Verdict.GetLoad())
 			load = &l
 			f.stamp = FromFreshness(body.Verdict.GetFreshness())
-			switch Decision(body.Verdict.GetDecision()) {
-			case Accepted:
+			v := Verdict{Decision: Decision(body.Verdict.GetDecision()), RetryAfter: time.Duration(body.Verdict.GetRetryAfterNanos())}
+			if v.Decision == Accepted {
 				return load, nil
-			case Waiting:
-			case Refused:
-				r := failure.New(kind.NoCapacity, "", nil)
-				r.RetryAfter = time.Duration(body.Verdict.GetRetryAfterNanos())
-				return load, r
+			}
+			if err := v.Failure(); err != nil {
+				return load, err
 			}
 		case *peerpb.Frame_Failure:
 			return load, fromFrame(body.Failure)
--- a/internal/request/kind/kind.go
+++ b/internal/request/kind/kind.go
@@ -37,6 +37,7 @@
 	BrokenRequestBody
 	LapsedAuthority
 	OtherIncarnation
+	Overloaded
 	count
 )
 
@@ -86,6 +87,7 @@
 	CancelledByCaller:        {"CancelledByCaller", http.StatusRequestTimeout, Unknown, false, "The caller closed its connection."},
 	BrokenRequestBody:        {"BrokenRequestBody", http.StatusBadRequest, Unknown, false, "The body of the request ended early."},
 	OtherIncarnation:         {"OtherIncarnation", http.StatusServiceUnavailable, NotRun, true, "Another incarnation has the backend server's address."},
+	Overloaded:               {"Overloaded", http.StatusServiceUnavailable, NotRun, true, "A service that the request depends on has no room."},
 	LapsedAuthority:          {"LapsedAuthority", http.StatusServiceUnavailable, Unknown, false, "The node ceased to be current while the request was under way."},
 }
 
