Refuse what no node reacted to as not run

Nothing had been sent, so that the caller could have been told to come back; and ways that are cut used up the offers of a step, so that nodes with room were not asked. Ruled out: requests lost on their way, which stay Unknown.

A request of which nothing was sent ends with 503 and a time to come back. Up to four nodes that do not react do not count as asked. TestDispatch_Forward_unreachable failed before.

--- a/internal/node/dispatch/dispatch_test.go
+++ b/internal/node/dispatch/dispatch_test.go
@@ -188,6 +188,41 @@
 	}
 }
 
+// TestDispatch_Forward_unreachable checks that a request which no node reacted to
+// is refused with the word that it has not run and a time to come back, and that
+// nodes which do not react do not keep it from one that does.
+func TestDispatch_Forward_unreachable(t *testing.T) {
+	closed := func() netip.AddrPort {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		return netip.MustParseAddrPort(l.Addr().String())
+	}
+	d := newDispatch(t, &owner{refuse: true}, &owner{refuse: true})
+	d.Know(time.Now(), ranking.Node{Address: closed(), DataCentre: "a", Service: "cut"}, booking.Load{Slots: 3, Serving: true})
+	r := newRequest(false, "body")
+	r.Order.Service = "cut"
+	_, err := d.Forward(t.Context(), r)
+	if f := failure.From(err); f.Kind != kind.NoCapacity || f.RetryAfter <= 0 {
+		t.Errorf("got %v and to come back after %s, want kind %s with a time", err, f.RetryAfter, kind.NoCapacity)
+	}
+	good := &owner{status: 200}
+	d = newDispatch(t, good, &owner{refuse: true})
+	for range 4 {
+		// Those that are cut look better than the one that is not.
+		d.Know(time.Now(), ranking.Node{Address: closed(), DataCentre: "a", Service: "s"}, booking.Load{Slots: 3, Serving: true, Hold: time.Millisecond})
+	}
+	for range 10 {
+		answer, err := d.Forward(t.Context(), newRequest(false, "body"))
+		if err != nil {
+			t.Fatalf("got %v beside nodes that are cut, want an answer", err)
+		}
+		_ = answer.Body.Close()
+	}
+}
+
 // TestDispatch_Forward_overloaded checks that a request which another owner could
 // not complete either is refused at once, with a time to come back.
 func TestDispatch_Forward_overloaded(t *testing.T) {
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -28,6 +28,10 @@
 	// maxTries bounds the attempts with those that backend servers refused.
 	maxTries = 6
 
+	// maxSilent is the number of nodes that may fail to react without counting as
+	// asked. Each costs the time in which it should have reacted.
+	maxSilent = 4
+
 	// maxGathered is the longest answer, in bytes, that is read to its end
 	// before the caller sees any of it, so that another attempt can replace it.
 	maxGathered = 64 << 10
@@ -267,8 +271,9 @@
 	refused := make(map[order.Level][]netip.AddrPort)
 	var last error
 	var told refusals
+	silent := 0
 	for _, p := range plan {
-		for range p.offers {
+		for n := 0; n < p.offers; n++ {
 			if ctx.Err() != nil {
 				return nil, failure.FromContext(ctx, false)
 			}
@@ -286,14 +291,19 @@
 			if !s.elsewhere(to, p.level, reply) {
 				return nil, reply.Err
 			}
+			if failure.From(reply.Err).Kind == kind.UnreachablePeer && silent < maxSilent {
+				// A way that is cut says nothing of the others.
+				silent++
+				n--
+			}
 		}
 	}
 	if last == nil {
 		return nil, failure.New(kind.NoCapacity, "no backend server of the service is known", nil)
 	}
-	f := failure.From(last)
-	f.Err = &told
-	return nil, f
+	// Nothing was sent, so that the caller may come back whatever the last node
+	// said or did not say.
+	return nil, &failure.Failure{Kind: kind.NoCapacity, RetryAfter: failure.From(last).RetryAfter, Err: &told}
 }
 
 func (s *sending) excluded() []netip.AddrPort {
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,6 +17,7 @@
 const (
 	maxOutput = 64 << 10 // Bytes of output that are kept.
 	pollTime  = 5 * time.Millisecond
+	stopTime  = 5 * time.Second // Time in which all threads must stop.
 )
 
 // Process is a running program. Make one with Start.
@@ -84,8 +87,40 @@
 	}
 }
 
-// Freeze stops the process until Thaw.
-func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze stops the process until Thaw. It returns once no thread of it runs.
+func (p *Process) Freeze() error {
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return p.awaitStopped()
+}
+
+// awaitStopped waits until no thread of the process runs: the signal returns
+// before they have stopped.
+func (p *Process) awaitStopped() error {
+	tasks := fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid)
+	for deadline := time.Now().Add(stopTime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		files, err := filepath.Glob(tasks)
+		if err != nil {
+			return err
+		}
+		if len(files) > 0 && !slices.ContainsFunc(files, runs) {
+			return nil
+		}
+	}
+	return fmt.Errorf("process %d has not stopped within %s", p.cmd.Process.Pid, stopTime)
+}
+
+// runs tells from the status of a thread whether it is not stopped. The state
+// follows the name, which ends with the last parenthesis.
+func runs(file string) bool {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return true
+	}
+	i := bytes.LastIndexByte(text, ')')
+	return i < 0 || i+2 >= len(text) || text[i+2] != 'T'
+}
 
 // Thaw lets a frozen process run on.
 func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
