Ask for no ticks while all requests wait for calls

While they wait for calls their working time stands still, so that a request just short of overdue made the desk wake each millisecond until a call ended.

The next tick now takes the pace into account, comes at least 5 ms later, and is set anew when a call ends. TestDesk_Next failed before for one and two waiting requests.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -50,6 +50,9 @@
 	// of its requests is expected to end with an error for it.
 	excuseTime = time.Second
 
+	// leastTick is the least time to the next tick for requests that become overdue.
+	leastTick = 5 * time.Millisecond
+
 	// holdMemory is the time after which the last answer says nothing of how long
 	// the next request holds its slot: a slow backend server may be fast again.
 	holdMemory = 3 * time.Second
@@ -533,9 +536,13 @@
 			next = t
 		}
 	}
-	for _, r := range d.running {
-		if !r.overdue {
-			sooner(d.workedAt.Add(d.overdueAge(r.ticket) - (d.worked - r.begun)))
+	// While all requests wait for calls none becomes overdue.
+	if n := len(d.running); d.calls < n {
+		for _, r := range d.running {
+			if !r.overdue {
+				left := d.overdueAge(r.ticket) - (d.worked - r.begun)
+				sooner(d.workedAt.Add(max(left*time.Duration(n)/time.Duration(n-d.calls), leastTick)))
+			}
 		}
 	}
 	for _, t := range d.waiting {
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -363,3 +363,30 @@
 		t.Errorf("got %d of 10 refused while all calls are, want 6 to 8", refused)
 	}
 }
+
+// TestDesk_Next checks that a desk whose requests wait for calls asks for no ticks,
+// and for later ones where a part of them waits.
+func TestDesk_Next(t *testing.T) {
+	tests := []struct {
+		calls int
+		want  time.Duration // Time at which two requests become overdue; zero if they do not.
+	}{
+		{0, 110 * time.Millisecond},
+		{1, 220 * time.Millisecond},
+		{2, 0},
+	}
+	for _, tt := range tests {
+		d := open(2)
+		for id := range uint64(2) {
+			k := ticket(id, order.Trusted)
+			d.Enter(at(0), k)
+		}
+		for range tt.calls {
+			d.CallStarted(at(0))
+		}
+		next := d.Next()
+		if next.IsZero() != (tt.want == 0) || tt.want > 0 && (next.Sub(at(tt.want))).Abs() > 5*time.Millisecond {
+			t.Errorf("%d of 2 requests wait for calls: got the next tick at %s, want %s", tt.calls, next.Sub(at(0)), tt.want)
+		}
+	}
+}
--- a/internal/node/host/host.go
+++ b/internal/node/host/host.go
@@ -334,7 +334,9 @@
 	return func(end booking.CallEnd) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.desk.CallEnded(time.Now(), end)
+		now := time.Now()
+		h.desk.CallEnded(now, end)
+		h.arm(now)
 	}
 }
 
