--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -46,10 +46,6 @@
 	// before any has left.
 	expectedHold = 100 * time.Millisecond
 
-	// excuseTime is the time after a failed call of a backend server in which one
-	// of its requests is expected to end with an error for it.
-	excuseTime = time.Second
-
 	// leastTick is the least time to the next tick for requests that become overdue.
 	leastTick = 5 * time.Millisecond
 
@@ -103,16 +99,6 @@
 	Overloaded bool          // A service that it would call has no room: it is refused for good.
 }
 
-// CallEnd is how a call of the backend server ended.
-type CallEnd int
-
-// The ends of calls.
-const (
-	CallAnswered CallEnd = iota
-	CallFailed
-	CallRefused // It has not run for want of room.
-)
-
 func (Start) effect()  {}
 func (Wait) effect()   {}
 func (Refuse) effect() {}
@@ -153,32 +139,6 @@
 	overload  overload.Gauge
 }
 
-// Load is what other nodes are told of a desk.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-	Failing float64       // Likelihood that the next request fails, 0 to 1.
-	Serving bool          // It takes requests.
-	Hold    time.Duration // Mean time that a request holds its slot; zero if unknown.
-	Trial   bool          // It is suspected and wants a request that may be repeated.
-}
-
-// Accepts tells whether a desk with this load lets a request begin or wait.
-func (l Load) Accepts(level order.Level, idempotent bool) bool {
-	switch {
-	case !l.Serving:
-		return false
-	case level == order.Trusted && l.Failing >= maxTrusted:
-		return idempotent && l.Trial
-	case level == order.Trusted:
-		return l.Waiting == 0 && l.Running < l.Slots
-	case level == order.Queued:
-		return l.Failing < maxQueued
-	}
-	return true
-}
-
 // Open lets requests in, to the given number of slots.
 func (d *Desk) Open(now time.Time, slots int) []Effect {
 	d.slots, d.open = max(slots, 1), true
@@ -230,36 +190,6 @@
 	d.suspicion.Waited(now, max(expected, 0))
 }
 
-// work returns the working time of the desk. It goes on at the pace of the part of
-// the requests that do not wait for calls which the backend server made: which
-// request made a call is not known.
-func (d *Desk) work(now time.Time) time.Duration {
-	passed := max(now.Sub(d.workedAt), 0)
-	if n := len(d.running); n > 0 && passed > 0 {
-		d.worked += passed * time.Duration(n-min(d.calls, n)) / time.Duration(n)
-	}
-	if now.After(d.workedAt) {
-		d.workedAt = now
-	}
-	return d.worked
-}
-
-// CallStarted notes a call that the backend server makes for one of its requests.
-func (d *Desk) CallStarted(now time.Time) {
-	d.work(now)
-	d.calls++
-}
-
-// CallEnded notes the end of such a call.
-func (d *Desk) CallEnded(now time.Time, end CallEnd) {
-	d.work(now)
-	d.calls--
-	d.overload.CallEnded(now, end == CallRefused)
-	if end != CallAnswered && len(d.excuses) < len(d.running) {
-		d.excuses = append(d.excuses, now)
-	}
-}
-
 // Enter asks for a slot.
 func (d *Desk) Enter(now time.Time, t Ticket) []Effect {
 	effects := d.Tick(now)
@@ -415,18 +345,6 @@
 	return Refuse{ID: t.ID, RetryAfter: d.wait(len(d.waiting))}
 }
 
-// overloaded tells whether t is better not begun because calls find no room. Calls
-// themselves always begin: others wait for them.
-func (d *Desk) overloaded(now time.Time, t Ticket) bool {
-	return !t.Nested && d.overload.Refuse(now)
-}
-
-// refuseForGood refuses a request that other backend servers of the service could
-// not complete either.
-func (d *Desk) refuseForGood(t Ticket) Refuse {
-	return Refuse{ID: t.ID, RetryAfter: t.Objective, Overloaded: true}
-}
-
 // Leave gives a slot back, or ends the wait of a request.
 func (d *Desk) Leave(now time.Time, id uint64, o Outcome) []Effect {
 	r := d.running[id]
@@ -466,17 +384,6 @@
 	d.trialFailed(r)
 }
 
-// excused tells whether an error may be that of a failed call, which explains no
-// other error then.
-func (d *Desk) excused(now time.Time) bool {
-	d.excuses = slices.DeleteFunc(d.excuses, func(t time.Time) bool { return now.Sub(t) >= excuseTime })
-	if len(d.excuses) == 0 {
-		return false
-	}
-	d.excuses = slices.Delete(d.excuses, 0, 1)
-	return true
-}
-
 func (d *Desk) trialFailed(r *run) {
 	if r.trial {
 		d.failures++
--- /dev/null
+++ b/internal/backend/booking/call.go
@@ -0,0 +1,73 @@
+package booking
+
+import (
+	"slices"
+	"time"
+)
+
+// excuseTime is the time after a failed call of a backend server in which one of its
+// requests is expected to end with an error for it.
+const excuseTime = time.Second
+
+// CallEnd is how a call of the backend server ended.
+type CallEnd int
+
+// The ends of calls.
+const (
+	CallAnswered CallEnd = iota
+	CallFailed
+	CallRefused // It has not run for want of room.
+)
+
+// work returns the working time of the desk. It goes on at the pace of the part of
+// the requests that do not wait for calls which the backend server made: which
+// request made a call is not known.
+func (d *Desk) work(now time.Time) time.Duration {
+	passed := max(now.Sub(d.workedAt), 0)
+	if n := len(d.running); n > 0 && passed > 0 {
+		d.worked += passed * time.Duration(n-min(d.calls, n)) / time.Duration(n)
+	}
+	if now.After(d.workedAt) {
+		d.workedAt = now
+	}
+	return d.worked
+}
+
+// CallStarted notes a call that the backend server makes for one of its requests.
+func (d *Desk) CallStarted(now time.Time) {
+	d.work(now)
+	d.calls++
+}
+
+// CallEnded notes the end of such a call.
+func (d *Desk) CallEnded(now time.Time, end CallEnd) {
+	d.work(now)
+	d.calls--
+	d.overload.CallEnded(now, end == CallRefused)
+	if end != CallAnswered && len(d.excuses) < len(d.running) {
+		d.excuses = append(d.excuses, now)
+	}
+}
+
+// excused tells whether an error may be that of a failed call, which explains no
+// other error then.
+func (d *Desk) excused(now time.Time) bool {
+	d.excuses = slices.DeleteFunc(d.excuses, func(t time.Time) bool { return now.Sub(t) >= excuseTime })
+	if len(d.excuses) == 0 {
+		return false
+	}
+	d.excuses = slices.Delete(d.excuses, 0, 1)
+	return true
+}
+
+// overloaded tells whether t is better not begun because calls find no room. Calls
+// themselves always begin: others wait for them.
+func (d *Desk) overloaded(now time.Time, t Ticket) bool {
+	return !t.Nested && d.overload.Refuse(now)
+}
+
+// refuseForGood refuses a request that other backend servers of the service could
+// not complete either.
+func (d *Desk) refuseForGood(t Ticket) Refuse {
+	return Refuse{ID: t.ID, RetryAfter: t.Objective, Overloaded: true}
+}
--- /dev/null
+++ b/internal/backend/booking/load.go
@@ -0,0 +1,33 @@
+package booking
+
+import (
+	"time"
+
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+// Load is what other nodes are told of a desk.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	Failing float64       // Likelihood that the next request fails, 0 to 1.
+	Serving bool          // It takes requests.
+	Hold    time.Duration // Mean time that a request holds its slot; zero if unknown.
+	Trial   bool          // It is suspected and wants a request that may be repeated.
+}
+
+// Accepts tells whether a desk with this load lets a request begin or wait.
+func (l Load) Accepts(level order.Level, idempotent bool) bool {
+	switch {
+	case !l.Serving:
+		return false
+	case level == order.Trusted && l.Failing >= maxTrusted:
+		return idempotent && l.Trial
+	case level == order.Trusted:
+		return l.Waiting == 0 && l.Running < l.Slots
+	case level == order.Queued:
+		return l.Failing < maxQueued
+	}
+	return true
+}
