Round the wait of a bucket up

With a level less than a nanosecond's refill below one, the wait was rounded down to zero, which says that the request was admitted, and nothing was taken from the bucket. Ruled out: the clock (it never goes back in this test) and the cap of the level, which holds before each admission. Conclusion: a real fault of the limit, seen only where gaps and rates give levels just below one; the wait is rounded up.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -51,7 +51,9 @@
 	if rate <= 0 {
 		return time.Second
 	}
-	return time.Duration((1 - b.level) / rate * float64(time.Second))
+	// Rounded up: a level just below one would give a wait of zero, which says
+	// that the request was admitted.
+	return time.Duration((1-b.level)/rate*float64(time.Second)) + time.Nanosecond
 }
 
 func (b *Bucket) refill(now time.Time, rate, burst float64) {
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -35,6 +35,24 @@
 	})
 }
 
+// TestBucket_Take_rounded plays the levels just below one that gaps in binary
+// fractions leave behind: a request that finds one pays or waits.
+func TestBucket_Take_rounded(t *testing.T) {
+	const rate, burst = 30, 2
+	var b quota.Bucket
+	now := time.Unix(0, 0)
+	admitted := 0
+	for range 2000 {
+		if b.Take(now, rate, burst) == 0 {
+			admitted++
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	if want := burst + rate*40; admitted > want {
+		t.Errorf("got %d requests in 40 s, want at most %d", admitted, want)
+	}
+}
+
 func TestBucket_Take_wait(t *testing.T) {
 	var b quota.Bucket
 	now := time.Unix(0, 0)
