Take in what a node says after its clock was set back

Cause: a node takes the time of its start as its incarnation, and others took in only what came from a later one. Ruled out: the record in the store, which the node writes anew; records only add nodes that are not known. Before: the new test gets nothing of the second start; after: it does, and a late word of one that left is still ignored. Conclusion: an incarnation that looks older counts unless it says that it leaves.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -4,6 +4,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -359,8 +360,7 @@
 	}
 	d.mu.Lock()
 	known := d.known[p.Address]
-	newer := known != nil && (p.Incarnation > known.presence.Incarnation ||
-		p.Incarnation == known.presence.Incarnation && p.Sequence >= known.presence.Sequence)
+	newer := known != nil && p.follows(known.presence)
 	if newer {
 		known.presence, known.heard = p, now
 	}
@@ -370,6 +370,20 @@
 	}
 }
 
+// follows tells whether p is what a node said after old. An incarnation that looks
+// older follows too, unless it leaves: the clock of its VM may have been set back
+// before it started, while the last word of one that ended may come late.
+func (p Presence) follows(old Presence) bool {
+	switch cmp.Compare(p.Incarnation, old.Incarnation) {
+	case 0:
+		return p.Sequence >= old.Sequence
+	case 1:
+		return true
+	default:
+		return !p.Leaving
+	}
+}
+
 func (d *Discovery) presence(now time.Time) *peerpb.Presence {
 	l := d.Load(now)
 	l.Serving = l.Serving && !d.leaving.Load()
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -11,10 +11,13 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/node/depot"
+	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/peerpb"
 )
 
 // memory is a depot that holds records only.
@@ -102,3 +105,36 @@
 		t.Errorf("got %d nodes, want 3", got)
 	}
 }
+
+// TestDiscovery_Answer_clockBack answers a node that starts again after the clock
+// of its VM was set back: what it says itself counts, although its incarnation
+// looks older.
+func TestDiscovery_Answer_clockBack(t *testing.T) {
+	d, _ := newJoined(t)
+	var got []Presence
+	d.Heard = func(_ time.Time, p Presence) { got = append(got, p) }
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	tell := func(incarnation, sequence uint64, serving, leaving bool) {
+		t.Helper()
+		payload, err := proto.Marshal(&peerpb.Presence{
+			Name: "a", Address: address.String(), Incarnation: incarnation, Sequence: sequence, Leaving: leaving,
+			Load: courier.ToLoad(booking.Load{Slots: 3, Serving: serving}),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.Answer(time.Now(), payload); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tell(1000, 7, false, true)
+	tell(900, 1, true, false)
+	if len(got) != 2 || !got[1].Load.Serving {
+		t.Fatalf("got %+v, want what the node said after it started again", got)
+	}
+	tell(900, 0, false, false)
+	tell(800, 9, false, true)
+	if len(got) != 2 {
+		t.Errorf("got %+v, want what it said earlier to be ignored", got[2:])
+	}
+}
