Let nodes that start while the store is away learn from the others

Cause: a node that starts reads the configuration and the list of nodes from the store alone. Ruled out: keeping the list elsewhere, since VMs keep nothing; asking from the starting node, which knows no address. The others know its address, and that their session to it ended. Change: whoever loses a session introduces itself again, after 0.6 s and then less and less often, unless the other node did so first. A node without a configuration fetches it from who introduced itself, and counts as joined when it knows others and the store does not answer. The listener for other nodes is closed when a node stops.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -40,6 +40,12 @@
 	askTries  = 5                // Introductions of a change to one node.
 	askPause  = 700 * time.Millisecond
 
+	// returnPause is the time in which a node that started again is expected to
+	// introduce itself, and the first pause between introductions to one that did
+	// not. The pause doubles with each of returnTries.
+	returnPause = 600 * time.Millisecond
+	returnTries = 6
+
 	// doubtPause is the least time between two reads for the sake of nodes that
 	// do not answer. A record that lapsed while the store was away is back within
 	// two seconds of its return, so that one which two such reads lack is gone.
@@ -155,6 +161,9 @@
 			return
 		}
 		d.Log.Warn().Err(err).Msg("cannot join the fleet yet")
+		if d.Nodes() > 1 && d.joined.CompareAndSwap(false, true) {
+			d.Log.Warn().Int("Nodes", d.Nodes()).Msg("joined the fleet through other nodes; the store is away")
+		}
 		timer.Sleep(ctx, askPause/2+rand.N(askPause/2))
 	}
 }
@@ -324,18 +333,7 @@
 		if d.sequence.Load() != sequence || ctx.Err() != nil {
 			return
 		}
-		payload, err := proto.Marshal(d.presence(time.Now()))
-		if err != nil {
-			d.Log.Error().Err(err).Msg("cannot encode this node's presence")
-			return
-		}
-		call, cancel := context.WithTimeout(ctx, askTime)
-		reply, err := d.Mesh.Ask(call, to, question.Presence, payload)
-		cancel()
-		if err == nil {
-			if p, err := decode(reply); err == nil {
-				d.hear(time.Now(), p)
-			}
+		if d.tell(ctx, to) {
 			return
 		}
 		timer.Sleep(ctx, askPause+rand.N(askPause/2))
@@ -343,6 +341,54 @@
 	d.Log.Debug().Stringer("Address", to).Msg("node does not answer introductions")
 }
 
+// tell introduces this node to another one and takes in what it replies. It
+// reports whether that did.
+func (d *Discovery) tell(ctx context.Context, to netip.AddrPort) bool {
+	payload, err := proto.Marshal(d.presence(time.Now()))
+	if err != nil {
+		d.Log.Error().Err(err).Msg("cannot encode this node's presence")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	reply, err := d.Mesh.Ask(ctx, to, question.Presence, payload)
+	if err != nil {
+		return false
+	}
+	if p, err := decode(reply); err == nil {
+		d.hear(time.Now(), p)
+	}
+	return true
+}
+
+// SessionLost introduces this node to one that may have started again. It knows
+// nobody if the store was away meanwhile.
+func (d *Discovery) SessionLost(ctx context.Context, to netip.AddrPort) {
+	incarnation, known := d.incarnation(to)
+	pause := returnPause
+	for range returnTries {
+		timer.Sleep(ctx, pause)
+		pause *= 2
+		now, still := d.incarnation(to)
+		if !known || !still || now != incarnation || d.leaving.Load() || ctx.Err() != nil {
+			return
+		}
+		if d.tell(ctx, to) {
+			return
+		}
+	}
+}
+
+func (d *Discovery) incarnation(a netip.AddrPort) (uint64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.known[a]
+	if p == nil {
+		return 0, false
+	}
+	return p.presence.Incarnation, true
+}
+
 // Answer takes in a node's introduction and returns this node's.
 func (d *Discovery) Answer(now time.Time, payload []byte) ([]byte, error) {
 	p, err := decode(payload)
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -168,6 +168,14 @@
 	}
 }
 
+// Offer fetches the configuration of a node that introduced itself, if this one
+// has none yet.
+func (f *Follower) Offer(from netip.AddrPort) {
+	if f.Snapshot() == nil && f.fetching.CompareAndSwap(false, true) {
+		go f.fetch(from)
+	}
+}
+
 // fetch asks a peer for its configuration, and the depot if that fails.
 func (f *Follower) fetch(from netip.AddrPort) {
 	defer f.fetching.Store(false)
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -58,6 +58,7 @@
 	BackendServer netip.AddrPort // Its address.
 	Callers       netip.AddrPort // Address for clients and the backend server.
 	Peers         netip.AddrPort // Address for other nodes.
+	PeersListen   netip.AddrPort // Where to listen for them behind a forwarder; Peers if not set.
 	Ready         netip.AddrPort // Address for readiness questions.
 	Heartbeats    netip.AddrPort // Address for the backend server's heartbeats.
 	Metrics       netip.AddrPort
@@ -93,6 +94,7 @@
 	metrics   *metrics.Metrics
 	closing   atomic.Bool
 	servers   []*http.Server // The callers' comes first.
+	listener  net.Listener   // For other nodes.
 	failed    chan error
 }
 
@@ -129,6 +131,7 @@
 
 func (c *Sidecar) heard(now time.Time, p discovery.Presence) {
 	c.dispatch.Know(now, ranking.Node{Address: p.Address, DataCentre: p.DataCentre, Service: p.Service}, p.Load)
+	c.follower.Offer(p.Address)
 }
 
 func (c *Sidecar) lost(a netip.AddrPort) {
@@ -195,6 +198,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	started := time.Now()
+	c.mesh.Lost = func(to netip.AddrPort) { c.discovery.SessionLost(ctx, to) }
 	if err := c.listen(); err != nil {
 		return err
 	}
@@ -212,6 +216,7 @@
 	}
 	cancel()
 	c.timers.Stop()
+	_ = c.listener.Close()
 	c.mesh.Close()
 	for _, s := range c.servers {
 		_ = s.Close()
@@ -239,10 +244,15 @@
 			return err
 		}
 	}
-	l, err := net.Listen("tcp", c.settings.Peers.String())
+	peers := c.settings.Peers
+	if c.settings.PeersListen.IsValid() {
+		peers = c.settings.PeersListen
+	}
+	l, err := net.Listen("tcp", peers.String())
 	if err != nil {
 		return fmt.Errorf("peers' address: %w", err)
 	}
+	c.listener = l
 	go c.mesh.Listen(l)
 	return nil
 }
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -49,6 +49,10 @@
 	server  *tls.Config
 	handler Handler
 
+	// Lost, if set, is called when a session that this node opened was ended by its
+	// peer or by the network. Set it before the mesh is used.
+	Lost func(to netip.AddrPort)
+
 	sent     atomic.Int64 // Bytes, of all sessions, with TLS.
 	received atomic.Int64
 
@@ -266,6 +270,9 @@
 	// The peer opens no streams here; accepting ends when the session does.
 	_, _ = s.mux.AcceptStream()
 	m.drop(to, s)
+	if m.Lost != nil && !s.released.Load() && m.ctx.Err() == nil {
+		m.Lost(to)
+	}
 }
 
 func (m *Mesh) connect(ctx context.Context, to netip.AddrPort) (*yamux.Session, error) {
@@ -311,6 +318,7 @@
 	delete(m.sessions, to)
 	m.mu.Unlock()
 	if s != nil {
+		s.released.Store(true)
 		time.AfterFunc(renewedTime, func() { m.drop(to, s) })
 	}
 }
@@ -326,6 +334,7 @@
 	}
 	m.mu.Unlock()
 	for to, s := range idle {
+		s.released.Store(true)
 		m.drop(to, s)
 	}
 }
--- a/internal/peer/link/session.go
+++ b/internal/peer/link/session.go
@@ -22,6 +22,7 @@
 	used     atomic.Int64 // Time of the last use, in nanoseconds since 1970.
 	failures atomic.Int32 // Questions in a row without a reply.
 	replied  atomic.Int64 // Time of the last reply or of the start, in nanoseconds since 1970.
+	released atomic.Bool  // This node has done with it, so that its end says nothing of the peer.
 
 	mu      sync.Mutex // Guards the fields below and writes to control.
 	control *Stream
