Forecast waits by those before, and refuse early

In TestDesk_Enter_overtaken, which plays 20 calls and 20 requests a second at slots for 30, all refusals came after 0.998 s of a patience of 1 s. Ruled out: the time that requests hold slots, which is known well here. Change: backend/forecast corrects expected waits by the ratio of earlier ones, and requests that are not nested must have the patience for half as much again. Before and after in the test: refused after 998 and 231 ms, 295 and 293 served. Without the margin 520 ms, with a margin of 2 110 ms. Conclusion: refusals come sooner at the same service.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"filbertturn.example/filbertturn/internal/backend/forecast"
 	"filbertturn.example/filbertturn/internal/backend/overload"
 	"filbertturn.example/filbertturn/internal/health/suspicion"
 	"filbertturn.example/filbertturn/internal/request/order"
@@ -53,6 +54,10 @@
 	// the next request holds its slot: a slow backend server may be fast again.
 	holdMemory = 3 * time.Second
 
+	// waitMargin times the expected wait is the one that a request must have the
+	// patience for, unless it is nested, so that few are given up in the queue.
+	waitMargin = 1.5
+
 	// maxWaitingPerSlot bounds the queue.
 	maxWaitingPerSlot = 8
 )
@@ -112,6 +117,13 @@
 	trial   bool
 }
 
+// place is a request in the queue.
+type place struct {
+	ticket   Ticket
+	since    time.Time
+	expected time.Duration // How long it was expected to wait.
+}
+
 // mean is the mean working time of a route's answers.
 type mean struct {
 	value   time.Duration
@@ -124,7 +136,9 @@
 	slots     int
 	open      bool
 	running   map[uint64]*run
-	waiting   []Ticket
+	waiting   []place
+	nested    forecast.Forecast // Of the waits of nested requests,
+	others    forecast.Forecast // and of others, which nested ones overtake.
 	suspicion suspicion.Suspicion
 	hold      time.Duration // Mean time that a request holds its slot.
 	ended     time.Time     // Time of the last answer.
@@ -148,7 +162,7 @@
 // Close refuses the requests that wait. Those that run go on.
 func (d *Desk) Close() []Effect {
 	d.open = false
-	return d.turnAway(func(Ticket) bool { return true })
+	return d.turnAway(func(place) bool { return true })
 }
 
 // Reset forgets what is known of the backend server, for its successor.
@@ -236,17 +250,18 @@
 // queue lets t wait if it can still be answered in time. A full queue gives up
 // the ticket that would start last.
 func (d *Desk) queue(now time.Time, t Ticket) []Effect {
-	place := 0
+	ahead := 0
 	last := -1
 	for i, w := range d.waiting {
-		if d.before(now, w, t) {
-			place++
+		if d.before(now, w.ticket, t) {
+			ahead++
 		}
-		if last < 0 || d.before(now, d.waiting[last], w) {
+		if last < 0 || d.before(now, d.waiting[last].ticket, w.ticket) {
 			last = i
 		}
 	}
-	if start := now.Add(d.wait(place)); d.moving() == 0 || !d.inTime(start, t) {
+	expected := d.wait(ahead)
+	if start := now.Add(d.longest(now, t, expected)); d.moving() == 0 || !d.inTime(start, t) {
 		return []Effect{d.refuse(t)}
 	}
 	if d.overloaded(now, t) {
@@ -254,16 +269,34 @@
 	}
 	var effects []Effect
 	if len(d.waiting) >= maxWaitingPerSlot*d.slots {
-		if !d.before(now, t, d.waiting[last]) {
+		if !d.before(now, t, d.waiting[last].ticket) {
 			return []Effect{d.refuse(t)}
 		}
-		effects = append(effects, d.refuse(d.waiting[last]))
+		effects = append(effects, d.refuse(d.waiting[last].ticket))
 		d.waiting = slices.Delete(d.waiting, last, last+1)
 	}
-	d.waiting = append(d.waiting, t)
+	d.waiting = append(d.waiting, place{ticket: t, since: now, expected: expected})
 	return append(effects, Wait{ID: t.ID})
 }
 
+// longest returns how long t may have to wait. One that waits for nothing else and
+// is overtaken is refused rather early than after its patience.
+func (d *Desk) longest(now time.Time, t Ticket, expected time.Duration) time.Duration {
+	corrected := d.forecast(t).Correct(now, expected)
+	if t.Nested {
+		return corrected
+	}
+	return time.Duration(waitMargin * float64(corrected))
+}
+
+// forecast returns what is known of the waits of requests like t.
+func (d *Desk) forecast(t Ticket) *forecast.Forecast {
+	if t.Nested {
+		return &d.nested
+	}
+	return &d.others
+}
+
 // inTime tells whether t can be answered in time if it starts then.
 func (d *Desk) inTime(start time.Time, t Ticket) bool {
 	return !start.After(t.Patience) && !start.Add(d.expected(t.Route)).After(t.Deadline)
@@ -349,7 +382,7 @@
 func (d *Desk) Leave(now time.Time, id uint64, o Outcome) []Effect {
 	r := d.running[id]
 	if r == nil {
-		d.waiting = slices.DeleteFunc(d.waiting, func(t Ticket) bool { return t.ID == id })
+		d.waiting = slices.DeleteFunc(d.waiting, func(w place) bool { return w.ticket.ID == id })
 		return nil
 	}
 	d.observe(now)
@@ -421,8 +454,12 @@
 		hangs = hangs || r.overdue
 	}
 	stuck := d.moving() == 0
-	return d.turnAway(func(t Ticket) bool {
-		return !d.inTime(now, t) || stuck || hangs && t.Level < order.Any
+	return d.turnAway(func(w place) bool {
+		if !d.inTime(now, w.ticket) {
+			d.forecast(w.ticket).Waited(now, w.expected, now.Sub(w.since))
+			return true
+		}
+		return stuck || hangs && w.ticket.Level < order.Any
 	})
 }
 
@@ -443,20 +480,20 @@
 			}
 		}
 	}
-	for _, t := range d.waiting {
-		sooner(t.Deadline.Add(-d.expected(t.Route)))
-		sooner(t.Patience)
+	for _, w := range d.waiting {
+		sooner(w.ticket.Deadline.Add(-d.expected(w.ticket.Route)))
+		sooner(w.ticket.Patience)
 	}
 	return next
 }
 
-func (d *Desk) turnAway(f func(Ticket) bool) []Effect {
+func (d *Desk) turnAway(f func(place) bool) []Effect {
 	var effects []Effect
-	d.waiting = slices.DeleteFunc(d.waiting, func(t Ticket) bool {
-		if !f(t) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(w place) bool {
+		if !f(w) {
 			return false
 		}
-		effects = append(effects, d.refuse(t))
+		effects = append(effects, d.refuse(w.ticket))
 		return true
 	})
 	return effects
@@ -466,13 +503,14 @@
 	for d.open && len(d.waiting) > 0 && len(d.running) < d.slots {
 		first := 0
 		for i := range d.waiting {
-			if d.before(now, d.waiting[i], d.waiting[first]) {
+			if d.before(now, d.waiting[i].ticket, d.waiting[first].ticket) {
 				first = i
 			}
 		}
-		t := d.waiting[first]
+		w := d.waiting[first]
 		d.waiting = slices.Delete(d.waiting, first, first+1)
-		effects = append(effects, d.start(now, t, false))
+		d.forecast(w.ticket).Waited(now, w.expected, now.Sub(w.since))
+		effects = append(effects, d.start(now, w.ticket, false))
 	}
 	return effects
 }
