--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -355,27 +355,23 @@
 	if err != nil {
 		return false
 	}
-	if p, err := decode(reply); err == nil {
-		d.hear(time.Now(), p)
+	p, err := decode(reply)
+	if err != nil {
+		d.Log.Warn().Err(err).Stringer("From", to).Msg("presence of a node cannot be read")
+		return true
 	}
+	d.hear(time.Now(), p)
 	return true
 }
 
 // SessionLost introduces this node to one that may have started again. It knows
 // nobody if the store was away meanwhile.
 func (d *Discovery) SessionLost(ctx context.Context, to netip.AddrPort) {
-	incarnation, known := d.incarnation(to)
-	pause := returnPause
-	for range returnTries {
+	lost, ok := d.incarnation(to)
+	for pause := returnPause; ok && pause < returnPause<<returnTries; pause *= 2 {
 		timer.Sleep(ctx, pause)
-		pause *= 2
-		now, still := d.incarnation(to)
-		if !known || !still || now != incarnation || d.leaving.Load() || ctx.Err() != nil {
-			return
-		}
-		if d.tell(ctx, to) {
-			return
-		}
+		now, known := d.incarnation(to)
+		ok = known && now == lost && !d.leaving.Load() && ctx.Err() == nil && !d.tell(ctx, to)
 	}
 }
 
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -168,9 +168,9 @@
 	}
 }
 
-// Offer fetches the configuration of a node that introduced itself, if this one
+// Introduced fetches the configuration of a node that introduced itself, if this one
 // has none yet.
-func (f *Follower) Offer(from netip.AddrPort) {
+func (f *Follower) Introduced(from netip.AddrPort) {
 	if f.Snapshot() == nil && f.fetching.CompareAndSwap(false, true) {
 		go f.fetch(from)
 	}
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -131,7 +131,7 @@
 
 func (c *Sidecar) heard(now time.Time, p discovery.Presence) {
 	c.dispatch.Know(now, ranking.Node{Address: p.Address, DataCentre: p.DataCentre, Service: p.Service}, p.Load)
-	c.follower.Offer(p.Address)
+	c.follower.Introduced(p.Address)
 }
 
 func (c *Sidecar) lost(a netip.AddrPort) {
