Do not give up requests when the grace of a stop is nearly over

The node gave up what was under way 0.8 s before the end of its grace, to exit by itself. TestNode_stopped_late, a request of 1.5 s at a node with a grace of 1 s, got no answer before. Change: a node that stops waits until the requests have ended; the platform ends it when the grace is over.

--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -45,8 +45,10 @@
 	// connections, until callers have noticed that it is not ready.
 	noticeTime = 2500 * time.Millisecond
 
-	// exitMargin is what is left of the grace when the node exits by itself.
-	exitMargin   = 800 * time.Millisecond
+	// stopLimit times the grace is the time after which a node exits although
+	// requests are under way. The platform ends it sooner, but not before the grace
+	// is over, and until then their answers may come.
+	stopLimit    = 2
 	pollInterval = 50 * time.Millisecond
 )
 
@@ -292,10 +294,10 @@
 	c.metrics.Gauge("peer_received_bytes", func() int64 { _, received := c.mesh.Traffic(); return received })
 }
 
-// shutDown lets callers and other nodes go elsewhere, waits for the requests
-// under way, and returns before the grace is over.
+// shutDown lets callers and other nodes go elsewhere, and waits for the requests
+// under way.
 func (c *Sidecar) shutDown(ctx context.Context, stop <-chan os.Signal) {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.Grace-exitMargin)
+	ctx, cancel := context.WithTimeout(ctx, stopLimit*c.settings.Grace)
 	defer cancel()
 	go func() {
 		select {
