--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"filbertturn.example/filbertturn/internal/backend/booking"
+	_ "filbertturn.example/filbertturn/internal/check/seed"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
 
--- a/internal/config/freshness/freshness_test.go
+++ b/internal/config/freshness/freshness_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "filbertturn.example/filbertturn/internal/check/seed"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 )
 
--- a/internal/request/allowance/allowance_test.go
+++ b/internal/request/allowance/allowance_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "filbertturn.example/filbertturn/internal/check/seed"
 	"filbertturn.example/filbertturn/internal/request/allowance"
 )
 
