Prefer sound backend servers that got no request for a second

Change: loads tell the time since a request began, and entries prefer who got none for a second, up to two, unless it may fail.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -142,6 +142,7 @@
 	suspicion suspicion.Suspicion
 	hold      time.Duration // Mean time that a request holds its slot.
 	ended     time.Time     // Time of the last answer.
+	began     time.Time     // Time at which a request began last.
 	means     map[string]*mean
 	observed  time.Duration // Working time until which suspicion has seen the requests that run.
 	worked    time.Duration // Working time, see work,
@@ -176,7 +177,7 @@
 func (d *Desk) Load(now time.Time) Load {
 	l := Load{
 		Running: len(d.running), Waiting: len(d.waiting), Slots: d.slots,
-		Failing: d.failing(now), Serving: d.open,
+		Failing: d.failing(now), Serving: d.open, Unused: min(max(now.Sub(d.began), 0), unusedLimit),
 	}
 	l.Trial = l.Failing >= maxTrusted && l.Running < l.Slots && d.trialDue(now)
 	if now.Sub(d.ended) < holdMemory {
@@ -367,6 +368,7 @@
 	if d.running == nil {
 		d.running = make(map[uint64]*run)
 	}
+	d.began = now
 	d.running[t.ID] = &run{ticket: t, started: now, begun: d.work(now), trial: trial}
 	if trial {
 		d.nextTrial = now.Add(min(firstTrialPause<<min(d.failures, 8), maxTrialPause))
--- a/internal/backend/booking/load.go
+++ b/internal/backend/booking/load.go
@@ -6,6 +6,9 @@
 	"filbertturn.example/filbertturn/internal/request/order"
 )
 
+// unusedLimit is the longest time without a request that is told.
+const unusedLimit = 10 * time.Second
+
 // Load is what other nodes are told of a desk.
 type Load struct {
 	Running int
@@ -14,6 +17,7 @@
 	Failing float64       // Likelihood that the next request fails, 0 to 1.
 	Serving bool          // It takes requests.
 	Hold    time.Duration // Mean time that a request holds its slot; zero if unknown.
+	Unused  time.Duration // Time since a request began.
 	Trial   bool          // It is suspected and wants a request that may be repeated.
 }
 
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -38,6 +38,14 @@
 	// it. It is low enough for one to be tried while others have room.
 	trialCost = 0.3
 
+	// unusedGain is what speaks for a node without a request for longer than
+	// unusedFrom, in full from unusedTo, unless it is likely to fail: under a light
+	// load all nodes get requests, and what is known of them stays fresh.
+	unusedGain    = 0.3
+	unusedFrom    = time.Second
+	unusedTo      = 2 * time.Second
+	unusedFailing = 0.1
+
 	// shuffle lets a node of which little is known be chosen beside those that did
 	// well.
 	shuffle = 0.2
@@ -269,6 +277,9 @@
 	if c.node.DataCentre != w.DataCentre {
 		cost += farCost
 	}
+	if c.load.Failing < unusedFailing {
+		cost -= unusedGain * c.unused(now)
+	}
 	if now.Before(c.avoided) {
 		cost += float64(c.misses)
 	}
@@ -278,6 +289,16 @@
 	return cost
 }
 
+// unused tells how long no request began at the node, from 0 for less than
+// unusedFrom to 1 for unusedTo.
+func (c *candidate) unused(now time.Time) float64 {
+	if c.added > 0 {
+		return 0
+	}
+	idle := c.load.Unused + max(now.Sub(c.heard), 0)
+	return float64(min(max(idle-unusedFrom, 0), unusedTo-unusedFrom)) / float64(unusedTo-unusedFrom)
+}
+
 // fresh tells how much of what was heard still counts, from 1 to 0.
 func (c *candidate) fresh(now time.Time) float64 {
 	return faded(now.Sub(c.heard))
--- /dev/null
+++ b/internal/route/ranking/spread_test.go
@@ -0,0 +1,102 @@
+package ranking_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/booking"
+	"filbertturn.example/filbertturn/internal/route/ranking"
+)
+
+// TestRanking_Pick_lightLoad answers a light load, of less than one request a second
+// for each backend server: hardly ever do less than seven tenths of the backend
+// servers get a request within two seconds.
+func TestRanking_Pick_lightLoad(t *testing.T) {
+	const floor = 0.7
+	low, all := 0, 0
+	for seed := range uint64(8) {
+		p := lightLoad{random: rand.New(rand.NewPCG(seed, 0)), begun: map[netip.AddrPort][]time.Time{}, told: now}
+		for _, used := range p.play(t, time.Minute) {
+			all++
+			if float64(used) < floor*servers {
+				low++
+			}
+		}
+	}
+	t.Logf("%d of %d times", low, all)
+	if low*100 > all {
+		t.Errorf("got less than %g of the backend servers in use %d of %d times, want one in a hundred at most", floor, low, all)
+	}
+}
+
+const servers = 16
+
+// lightLoad plays requests at equal backend servers, from entries that hear all
+// loads each 0.4 s.
+type lightLoad struct {
+	random   *rand.Rand
+	rankings [8]ranking.Ranking
+	begun    map[netip.AddrPort][]time.Time // Requests of each backend server.
+	told     time.Time                      // Time of the next loads.
+}
+
+func server(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 1)
+}
+
+// play returns, after each request, how many backend servers got one in the last
+// two seconds.
+func (p *lightLoad) play(t *testing.T, length time.Duration) []int {
+	const rate, window = 13.5, 2 * time.Second // Requests a second.
+	for e := range p.rankings {
+		for i := range servers {
+			p.rankings[e].Know(ranking.Node{Address: server(i), DataCentre: "a", Service: "s"})
+		}
+	}
+	var counts []int
+	for at := now; at.Before(now.Add(length)); at = at.Add(time.Duration(p.random.ExpFloat64() / rate * float64(time.Second))) {
+		p.tell(at)
+		r := &p.rankings[p.random.IntN(len(p.rankings))]
+		to, ok := r.Pick(at, ranking.Choice{Service: "s", DataCentre: "a", Random: p.random.Float64()})
+		if !ok {
+			t.Fatal("got no node")
+		}
+		r.Sent(at, to)
+		r.Done(to)
+		p.begun[to] = append(p.begun[to], at)
+		if at.Sub(now) >= window {
+			counts = append(counts, p.used(at.Add(-window)))
+		}
+	}
+	return counts
+}
+
+// tell lets all entries hear the loads that are due.
+func (p *lightLoad) tell(at time.Time) {
+	const runs = 500 * time.Millisecond
+	for ; !p.told.After(at); p.told = p.told.Add(400 * time.Millisecond) {
+		for i := range servers {
+			l := booking.Load{Slots: 10, Serving: true, Hold: runs, Unused: time.Minute}
+			for _, b := range p.begun[server(i)] {
+				if l.Unused = p.told.Sub(b); l.Unused < runs {
+					l.Running++
+				}
+			}
+			for e := range p.rankings {
+				p.rankings[e].Learn(p.told, server(i), l)
+			}
+		}
+	}
+}
+
+func (p *lightLoad) used(since time.Time) int {
+	n := 0
+	for _, list := range p.begun {
+		if list[len(list)-1].After(since) {
+			n++
+		}
+	}
+	return n
+}
