--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -42,9 +42,9 @@
 
 	// returnPause is the time in which a node that started again is expected to
 	// introduce itself, and the first pause between introductions to one that did
-	// not. The pause doubles with each of returnTries.
-	returnPause = 600 * time.Millisecond
-	returnTries = 6
+	// not. The pause doubles up to the last one.
+	returnPause     = 600 * time.Millisecond
+	lastReturnPause = 20 * time.Second
 
 	// doubtPause is the least time between two reads for the sake of nodes that
 	// do not answer. A record that lapsed while the store was away is back within
@@ -367,11 +367,15 @@
 // SessionLost introduces this node to one that may have started again. It knows
 // nobody if the store was away meanwhile.
 func (d *Discovery) SessionLost(ctx context.Context, to netip.AddrPort) {
-	lost, ok := d.incarnation(to)
-	for pause := returnPause; ok && pause < returnPause<<returnTries; pause *= 2 {
+	lost, known := d.incarnation(to)
+	for pause := returnPause; known && pause <= lastReturnPause; pause *= 2 {
 		timer.Sleep(ctx, pause)
-		now, known := d.incarnation(to)
-		ok = known && now == lost && !d.leaving.Load() && ctx.Err() == nil && !d.tell(ctx, to)
+		if now, still := d.incarnation(to); !still || now != lost || d.leaving.Load() || ctx.Err() != nil {
+			return
+		}
+		if d.tell(ctx, to) {
+			return
+		}
 	}
 }
 
--- a/internal/node/quotas/quotas.go
+++ b/internal/node/quotas/quotas.go
@@ -149,47 +149,30 @@
 	return best, best.IsValid()
 }
 
-// Answer admits a request for another node.
+// Answer admits a request for another node, as the customer's home.
 func (q *Quotas) Answer(now time.Time, payload []byte) ([]byte, error) {
-	var m peerpb.TokenRequest
-	if err := proto.Unmarshal(payload, &m); err != nil {
+	m, limit, err := q.read(payload)
+	if err != nil {
 		return nil, err
 	}
-	s := q.Snapshot()
-	if s == nil {
-		return nil, failure.New(kind.NoConfiguration, "", nil)
-	}
-	limit, ok := s.Limit(m.GetCustomer())
-	if !ok {
-		return nil, failure.New(kind.LimitUnavailable, "the home does not know the customer", nil)
-	}
 	return q.grant(now, q.take(now, m.GetCustomer(), limit))
 }
 
 // AnswerSubstitute admits a request for a node that the customer's home does not
 // answer.
 func (q *Quotas) AnswerSubstitute(ctx context.Context, payload []byte) ([]byte, error) {
-	var m peerpb.TokenRequest
-	if err := proto.Unmarshal(payload, &m); err != nil {
+	m, limit, err := q.read(payload)
+	if err != nil {
 		return nil, err
 	}
 	var asker netip.AddrPort
 	if err := asker.UnmarshalBinary(m.GetAsker()); err != nil {
 		return nil, err
 	}
-	s := q.Snapshot()
-	if s == nil {
-		return nil, failure.New(kind.NoConfiguration, "", nil)
-	}
-	limit, ok := s.Limit(m.GetCustomer())
-	if !ok {
-		return nil, failure.New(kind.LimitUnavailable, "the substitute does not know the customer", nil)
-	}
 	nodes := q.Nodes()
 	home := homeOf(m.GetCustomer(), nodes)
 	if home == q.Self {
-		now := time.Now()
-		return q.grant(now, q.take(now, m.GetCustomer(), limit))
+		return q.Answer(time.Now(), payload)
 	}
 	wait, ok := q.ask(ctx, home, question.Tokens, m.GetCustomer())
 	now := time.Now()
@@ -199,6 +182,23 @@
 	return q.grant(now, wait)
 }
 
+// read returns a request for tokens and the limit of its customer.
+func (q *Quotas) read(payload []byte) (*peerpb.TokenRequest, set.Limit, error) {
+	m := new(peerpb.TokenRequest)
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return nil, set.Limit{}, err
+	}
+	s := q.Snapshot()
+	if s == nil {
+		return nil, set.Limit{}, failure.New(kind.NoConfiguration, "", nil)
+	}
+	limit, ok := s.Limit(m.GetCustomer())
+	if !ok {
+		return nil, set.Limit{}, failure.New(kind.LimitUnavailable, "this node does not know the customer", nil)
+	}
+	return m, limit, nil
+}
+
 func (q *Quotas) grant(now time.Time, wait time.Duration) ([]byte, error) {
 	grant := &peerpb.TokenGrant{RetryAfterNanos: int64(wait), Freshness: courier.ToFreshness(q.Stamp(now))}
 	if wait == 0 {
@@ -257,17 +257,11 @@
 	if q.isSilent(to, time.Now()) {
 		return 0, false
 	}
-	m := &peerpb.TokenRequest{Customer: customer, Count: 1}
 	limit := askTime
-	var err error
 	if kind == question.SubstituteTokens {
 		limit = substituteTime
-		m.Asker, err = q.Self.MarshalBinary()
-	}
-	var payload []byte
-	if err == nil {
-		payload, err = proto.Marshal(m)
 	}
+	payload, err := q.request(customer)
 	if err != nil {
 		q.Log.Error().Err(err).Msg("cannot encode a token request")
 		return 0, false
@@ -295,6 +289,14 @@
 	return max(time.Duration(g.GetRetryAfterNanos()), time.Millisecond), true
 }
 
+func (q *Quotas) request(customer string) ([]byte, error) {
+	self, err := q.Self.MarshalBinary()
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(&peerpb.TokenRequest{Customer: customer, Count: 1, Asker: self})
+}
+
 func (q *Quotas) isSilent(a netip.AddrPort, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -50,7 +50,7 @@
 	handler Handler
 
 	// Lost, if set, is called when a session that this node opened was ended by its
-	// peer or by the network. Set it before the mesh is used.
+	// peer or by the network. It may take its time. Set it before the mesh is used.
 	Lost func(to netip.AddrPort)
 
 	sent     atomic.Int64 // Bytes, of all sessions, with TLS.
