--- a/internal/peer/courier/accept.go
+++ b/internal/peer/courier/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"time"
@@ -72,17 +71,7 @@
 		BackendServer: answer.BackendServer.String(),
 		Load:          ToLoad(load),
 	}
-	if stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Answer{Answer: head}}) != nil {
-		return
-	}
-	if err := writeBody(stream, answer.Body); err != nil {
-		var broken *sourceError
-		if errors.As(err, &broken) {
-			fail(stream, failure.From(broken.err))
-		}
-		return
-	}
-	_ = stream.Write(&peerpb.Frame{Body: &peerpb.Frame_End{End: &peerpb.End{Trailers: fields(answer.Trailer())}}})
+	writeAnswer(stream, head, answer)
 }
 
 func fromOrderHead(head *peerpb.RequestHead, deadline time.Time) *order.Order {
--- a/internal/peer/courier/owner.go
+++ b/internal/peer/courier/owner.go
@@ -132,6 +132,11 @@
 		BackendServer: answer.BackendServer.String(),
 		FreeSlots:     toWire(answer.FreeSlots),
 	}
+	writeAnswer(stream, head, answer)
+}
+
+// writeAnswer sends an answer to its end, or the failure that ended it.
+func writeAnswer(stream *link.Stream, head *peerpb.AnswerHead, answer *exchange.Answer) {
 	if stream.Write(&peerpb.Frame{Body: &peerpb.Frame_Answer{Answer: head}}) != nil {
 		return
 	}
