Log how many calls were answered before a call that ends badly

Cause: the desk orders calls by it, and no line told of it. Ruled out: nothing. Result: "request ended" has Steps for calls; no measurement, one field.

--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -324,6 +324,9 @@
 	e := i.Log.Info().Str("RequestID", p.caller.ID).Str("Route", p.route.Name).Str("Service", p.request.Order.Service).
 		Str("Customer", p.customer.Name).Uint64("ConfigVersion", version).Int("Status", status).Dur("Took", took).
 		Dur("Bound", p.deadline.Sub(p.started))
+	if p.ended != nil {
+		e = e.Int("Steps", p.request.Order.Steps)
+	}
 	if f != nil {
 		e = e.Str("Kind", f.Kind.String()).Str("Detail", f.Detail).Dur("RetryAfter", f.RetryAfter)
 		if f.Err != nil {
