Ask the store for a newer configuration only where one is known

Cause: a node without a configuration that another introduced itself to asked the store when that one had none, by the same way as for a newer version. Ruled out: a need for it, as Run looks for the first one. Change: the two ways are two functions, and the error is gone. Read once more, and proved now: the owner orders by what the entry knows (TestCourier_Offer_order fails without the count of earlier calls on the wire), the entry takes that count from its backend server's node (TestIngress_ServeHTTP_patience), and TestProof_bound also plays fleets that start before the first version. The table of TestDesk_Tick_overdue says when requests come.

--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -396,28 +396,27 @@
 // then: who waits keeps the place while one of several is overdue, and is sent
 // elsewhere once the backend server is suspected.
 func TestDesk_Tick_overdue(t *testing.T) {
+	const slots = 5
 	tests := []struct {
 		desc    string
-		overdue int // Of five requests; the others have just begun.
+		overdue int           // Requests that began at once.
+		came    time.Duration // Time at which the others begin and one waits.
 		want    string
 	}{
-		{"none", 0, ""},
-		{"one", 1, ""},
-		{"all", 5, "refuse 9;"},
+		{"none", 0, 100 * time.Millisecond, ""},
+		{"one", 1, 100 * time.Millisecond, ""},
+		{"all", slots, 20 * time.Millisecond, "refuse 9;"},
 	}
 	for _, tt := range tests {
-		d := open(5)
-		for id := range tt.overdue {
-			d.Enter(at(0), ticket(uint64(id), order.Trusted))
-		}
-		came := at(20 * time.Millisecond)
-		if tt.overdue < 5 {
-			came = at(100 * time.Millisecond)
-		}
-		for id := tt.overdue; id < 5; id++ {
-			d.Enter(came, ticket(uint64(id), order.Queued))
+		d := open(slots)
+		for id := range slots {
+			began := at(0)
+			if id >= tt.overdue {
+				began = at(tt.came)
+			}
+			d.Enter(began, ticket(uint64(id), order.Queued))
 		}
-		expect(t, tt.desc+", waits", d.Enter(came, ticket(9, order.Queued)), "wait 9;")
+		expect(t, tt.desc+", waits", d.Enter(at(tt.came), ticket(9, order.Queued)), "wait 9;")
 		expect(t, tt.desc, d.Tick(at(120*time.Millisecond)), tt.want)
 	}
 }
--- a/internal/config/freshness/freshness.go
+++ b/internal/config/freshness/freshness.go
@@ -33,8 +33,8 @@
 func (Nothing) effect() {}
 
 // Proof is what a node knows of the age of its configuration. Its zero value
-// runs version 0, which stands for no configuration, and has no proof. It is not safe for use by several goroutines
-// at once.
+// runs version 0, which stands for no configuration, and has no proof. It is not
+// safe for use by several goroutines at once.
 type Proof struct {
 	version uint64
 	at      time.Time // Moment that the proof holds for; zero if there is none.
--- a/internal/config/freshness/freshness_test.go
+++ b/internal/config/freshness/freshness_test.go
@@ -32,7 +32,10 @@
 		cutUntil := make([]time.Time, len(nodes))
 		touched := make([]time.Time, len(nodes)) // Since when each reaches the store.
 		start := time.Unix(1000, 0)
-		written := []time.Time{start} // Times of the versions from 1.
+		var written []time.Time // Times of the versions from 1.
+		if rapid.Bool().Draw(t, "written before") {
+			written = append(written, start)
+		}
 		var wire []message
 		for now := start; now.Before(start.Add(12 * time.Second)); now = now.Add(step) {
 			if rapid.IntRange(0, 99).Draw(t, "write") == 0 {
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -63,10 +62,6 @@
 	revision int64  // Revision of the key that was read last.
 }
 
-// errEmpty reports a configuration without content, which a node sends that has
-// none.
-var errEmpty = errors.New("no content")
-
 // Snapshot returns the configuration, or nil before the first was read.
 func (f *Follower) Snapshot() *snapshot.Snapshot {
 	return f.snapshot.Load()
@@ -172,7 +167,7 @@
 	effect := f.proof.Hear(asked, s)
 	f.mu.Unlock()
 	if _, ok := effect.(freshness.Fetch); ok && f.fetching.CompareAndSwap(false, true) {
-		go f.fetch(from)
+		go f.fetchNewer(from)
 	}
 }
 
@@ -180,39 +175,50 @@
 // has none yet.
 func (f *Follower) Introduced(from netip.AddrPort) {
 	if f.Snapshot() == nil && f.fetching.CompareAndSwap(false, true) {
-		go f.fetch(from)
+		go f.fetchFirst(from)
 	}
 }
 
-// fetch asks a peer for its configuration, and the depot if that fails.
-func (f *Follower) fetch(from netip.AddrPort) {
+// fetchFirst asks a peer for a configuration that it may not have. Run looks for
+// one meanwhile.
+func (f *Follower) fetchFirst(from netip.AddrPort) {
 	defer f.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
-	defer cancel()
-	asked := time.Now()
-	reply, err := f.Mesh.Ask(ctx, from, question.Configuration, nil)
-	var m peerpb.Configuration
-	if err == nil {
-		err = proto.Unmarshal(reply, &m)
-	}
-	if err == nil {
-		age := time.Duration(m.GetFreshness().GetAgeNanos())
-		err = f.take(m.GetValue(), asked.Add(-min(age, time.Hour)), from.String())
+	if err := f.fetch(from); err != nil {
+		f.Log.Debug().Err(err).Stringer("From", from).Msg("no configuration can be had of a peer")
 	}
+}
+
+// fetchNewer asks a peer for its configuration, which is newer, and the depot if
+// that fails.
+func (f *Follower) fetchNewer(from netip.AddrPort) {
+	defer f.fetching.Store(false)
+	err := f.fetch(from)
 	if err == nil {
 		return
 	}
-	if errors.Is(err, errEmpty) {
-		// Run looks for the first configuration.
-		f.Log.Debug().Stringer("From", from).Msg("peer has no configuration yet")
-		return
-	}
 	f.Log.Info().Err(err).Stringer("From", from).Msg("configuration of a peer cannot be had; the store is asked")
 	if err := f.read(context.Background()); err != nil {
 		f.Log.Warn().Err(err).Msg("newer configuration is known and cannot be read yet")
 	}
 }
 
+// fetch asks a peer for its configuration and runs it.
+func (f *Follower) fetch(from netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	asked := time.Now()
+	reply, err := f.Mesh.Ask(ctx, from, question.Configuration, nil)
+	if err != nil {
+		return err
+	}
+	var m peerpb.Configuration
+	if err := proto.Unmarshal(reply, &m); err != nil {
+		return err
+	}
+	age := time.Duration(m.GetFreshness().GetAgeNanos())
+	return f.take(m.GetValue(), asked.Add(-min(age, time.Hour)), from.String())
+}
+
 // Answer returns the configuration for a peer.
 func (f *Follower) Answer(now time.Time) ([]byte, error) {
 	f.mu.Lock()
@@ -227,7 +233,7 @@
 // was the newest at a moment.
 func (f *Follower) take(value []byte, at time.Time, source string) error {
 	if len(value) == 0 {
-		return fmt.Errorf("configuration from %s: %w", source, errEmpty)
+		return fmt.Errorf("configuration from %s is empty", source)
 	}
 	version, s, err := f.Decode(value)
 	if err != nil {
--- a/internal/node/ingress/ingress_test.go
+++ b/internal/node/ingress/ingress_test.go
@@ -49,7 +49,7 @@
 
 func (p *ports) call() (int, func(booking.CallEnd)) {
 	p.calls++
-	return p.calls - 1, func(end booking.CallEnd) { p.ended = append(p.ended, end) }
+	return 2, func(end booking.CallEnd) { p.ended = append(p.ended, end) }
 }
 
 func newIngress(p *ports) *ingress.Ingress {
@@ -83,6 +83,9 @@
 		if len(p.orders) != 1 {
 			t.Fatalf("%s: got %d requests handed on, want 1", tt.desc, len(p.orders))
 		}
+		if got := p.orders[0].Steps; got != 2 {
+			t.Errorf("%s: got %d calls answered before, want 2", tt.desc, got)
+		}
 		if got := p.orders[0].Patience.Sub(before); got < tt.want || got > tt.want+100*time.Millisecond {
 			t.Errorf("%s: got a patience of %s, want %s", tt.desc, got, tt.want)
 		}
--- a/internal/peer/courier/offer_test.go
+++ b/internal/peer/courier/offer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -31,11 +32,13 @@
 	ran      atomic.Int64
 	ended    atomic.Int64
 	body     atomic.Value
+	order    atomic.Pointer[order.Order] // The last that was offered.
 }
 
 func (h *fakeHost) Load(time.Time) booking.Load { return booking.Load{Slots: 3, Serving: true} }
 
-func (h *fakeHost) Run(ctx context.Context, _ *order.Order, verdict func(courier.Verdict), body func() (io.Reader, error)) (*exchange.Answer, error) {
+func (h *fakeHost) Run(ctx context.Context, o *order.Order, verdict func(courier.Verdict), body func() (io.Reader, error)) (*exchange.Answer, error) {
+	h.order.Store(o)
 	time.Sleep(h.delay)
 	for _, v := range h.verdicts {
 		verdict(v)
@@ -114,6 +117,40 @@
 	}
 }
 
+// TestCourier_Offer_order checks that the owner decides by what the entry knows of
+// the request.
+func TestCourier_Offer_order(t *testing.T) {
+	h := &fakeHost{verdicts: []courier.Verdict{{Decision: courier.Refused}}}
+	c, to := startOwner(t, h)
+	want := newOrder(0)
+	want.Route, want.Service, want.CallerService, want.Customer = "r", "s", "t", "c"
+	want.Priority, want.Nested, want.Steps, want.Idempotent, want.Level = 3, true, 2, true, order.Queued
+	want.Objective, want.Due, want.Patience = time.Second, time.Now().Add(time.Second), time.Now().Add(2*time.Second)
+	c.Offer(t.Context(), to, want, textBody(""))
+	got := h.order.Load()
+	if got == nil {
+		t.Fatal("got no offer at the owner")
+	}
+	// What is left of a time travels, so that it ends a little later there.
+	const way = 200 * time.Millisecond
+	times := []struct {
+		name      string
+		got, want time.Time
+	}{
+		{"deadline", got.Deadline, want.Deadline}, {"due time", got.Due, want.Due}, {"patience", got.Patience, want.Patience},
+	}
+	for _, tt := range times {
+		if d := tt.got.Sub(tt.want); d < -way || d > way {
+			t.Errorf("got a %s %s off, want less than %s", tt.name, d, way)
+		}
+	}
+	copied := *got
+	copied.Header, copied.Deadline, copied.Due, copied.Patience = want.Header, want.Deadline, want.Due, want.Patience
+	if !reflect.DeepEqual(&copied, want) {
+		t.Errorf("got the order %+v, want %+v", copied, *want)
+	}
+}
+
 func TestCourier_Offer_refused(t *testing.T) {
 	h := &fakeHost{verdicts: []courier.Verdict{{Decision: courier.Refused, RetryAfter: time.Second}}}
 	c, to := startOwner(t, h)
