Log each run that ends with an error of its backend server

Cause: an answer of 500 left one line at its entry, 'request ended', which names no backend server.

Change: the node beside the backend server logs the run with the incarnation, its likelihood of failure when the request began and after the error, level, time and load. 'run failed' has the same fields.

Ruled out: a line at the entry, which knows only the node that it sent to.

--- a/internal/node/host/execution.go
+++ b/internal/node/host/execution.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"filbertturn.example/filbertturn/internal/backend/booking"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/request/dialect"
@@ -29,6 +31,8 @@
 	order    *order.Order
 	client   *exchange.Client
 	instance string
+	began    time.Time
+	failing  float64 // Likelihood of failure of the backend server when it began.
 	once     sync.Once
 }
 
@@ -40,7 +44,10 @@
 	if !serving || h.client == nil {
 		return nil, failure.New(kind.NoCapacity, "the backend server has left", nil)
 	}
-	return &execution{host: h, id: id, order: o, client: h.client, instance: a.Instance}, nil
+	now := time.Now()
+	return &execution{
+		host: h, id: id, order: o, client: h.client, instance: a.Instance, began: now, failing: h.desk.Load(now).Failing,
+	}, nil
 }
 
 func (x *execution) run(ctx context.Context, body io.Reader) (*exchange.Answer, error) {
@@ -64,10 +71,7 @@
 	if err != nil {
 		f := failure.From(err)
 		x.end(outcomeOf(f))
-		load := x.host.Load(time.Now())
-		x.host.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Kind", f.Kind.String()).
-			Dur("Remaining", remaining).Float64("Failing", math.Round(load.Failing*100)/100).Int("Running", load.Running).
-			Err(f.Err).Msg("run failed")
+		x.event().Str("Kind", f.Kind.String()).Dur("Remaining", remaining).Err(f.Err).Msg("run failed")
 		switch f.Kind {
 		case kind.OtherIncarnation:
 			x.host.evict(x.instance)
@@ -107,7 +111,7 @@
 			answer.ContentLength = int64(buf.Len())
 		}
 		answer.Body = io.NopCloser(&buf)
-		x.end(statusOutcome(answer.Status))
+		x.answered(answer.Status)
 		return answer, nil
 	default:
 		_ = answer.Body.Close()
@@ -115,6 +119,27 @@
 	}
 }
 
+// answered ends a run whose answer is whole. One that is an error is logged with
+// the backend server that made it, which the caller's node does not know.
+func (x *execution) answered(status int) {
+	if status < http.StatusInternalServerError {
+		x.end(booking.Answered)
+		return
+	}
+	x.end(booking.Errored)
+	x.event().Int("Status", status).Msg("run ended with an error")
+}
+
+// event starts a log line about the run, with what was known of the backend server
+// when it began and is known now.
+func (x *execution) event() *zerolog.Event {
+	load := x.host.Load(time.Now())
+	return x.host.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Route", x.order.Route).
+		Bool("Idempotent", x.order.Idempotent).Bool("Nested", x.order.Nested).Uint32("Level", uint32(x.order.Level)).
+		Dur("Took", time.Since(x.began)).Float64("FailingBefore", math.Round(x.failing*1000)/1000).
+		Float64("Failing", math.Round(load.Failing*1000)/1000).Int("Running", load.Running)
+}
+
 func (x *execution) end(o booking.Outcome) {
 	x.once.Do(func() { x.host.leave(x.id, o) })
 }
@@ -130,7 +155,7 @@
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
-		b.x.end(statusOutcome(b.status))
+		b.x.answered(b.status)
 	case err != nil:
 		b.x.end(outcomeOf(failure.From(err)))
 	}
@@ -144,13 +169,6 @@
 	return err
 }
 
-func statusOutcome(status int) booking.Outcome {
-	if status >= http.StatusInternalServerError {
-		return booking.Errored
-	}
-	return booking.Answered
-}
-
 // outcomeOf tells what a failure says of the backend server.
 func outcomeOf(f *failure.Failure) booking.Outcome {
 	switch f.Kind {
