Estimate suspicion by the states that a backend server may be in

Change: the estimate follows Bayes' rule over a sound state and four parts of requests that fail, which begin and end as episodes do; an answer counts for the moment at which its request began, and says nothing after a later failure; a deadline that passed counts by the time that the request ran.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -80,7 +80,7 @@
 	Failed            // The backend server failed it.
 	Errored           // The backend server answered it with an error.
 	Abandoned         // It was cancelled, which says nothing of the backend server.
-	Refused           // The backend server shed it.
+	Expired           // Its deadline passed: the time that it ran tells all.
 )
 
 // Effect is what becomes of a request: Start, Wait or Refuse.
@@ -184,14 +184,18 @@
 // observe takes in how long the requests that run have not ended.
 func (d *Desk) observe(now time.Time) {
 	worked := d.work(now)
-	expected := 0.0
 	for _, r := range d.running {
-		usual := float64(d.usual(r.ticket))
-		from := max(d.observed-r.begun, 0)
-		expected += suspicion.Expected(float64(from)/usual, float64(worked-r.begun)/usual)
+		if from, to := d.age(r, d.observed), d.age(r, worked); to > from {
+			d.suspicion.Waited(now, from, to)
+		}
 	}
 	d.observed = max(d.observed, worked)
-	d.suspicion.Waited(now, max(expected, 0))
+}
+
+// age returns how long a request has run at a working time, as a part of what is
+// usual.
+func (d *Desk) age(r *run, worked time.Duration) float64 {
+	return float64(max(worked-r.begun, 0)) / float64(d.usual(r.ticket))
 }
 
 // Enter asks for a slot.
@@ -304,8 +308,8 @@
 	delete(d.running, id)
 	switch o {
 	case Answered:
+		d.suspicion.Good(now, r.started, d.age(r, d.observed))
 		d.answered(now, r)
-		d.suspicion.Good(now)
 		if r.trial {
 			d.failures, d.nextTrial = 0, now
 		}
@@ -319,16 +323,14 @@
 		if r.overdue {
 			d.trialFailed(r)
 		}
-	case Refused:
+	case Expired:
+		d.trialFailed(r)
 	}
 	return d.fill(now, d.Tick(now))
 }
 
 func (d *Desk) failed(now time.Time, r *run) {
-	// How long it ran has counted already.
-	if !r.overdue {
-		d.suspicion.Bad(now)
-	}
+	d.suspicion.Bad(now, r.started, d.age(r, d.observed))
 	d.trialFailed(r)
 }
 
--- a/internal/health/suspicion/suspicion.go
+++ b/internal/health/suspicion/suspicion.go
@@ -1,5 +1,9 @@
 // Package suspicion estimates how likely a backend server fails the next
-// request, from how its latest ones ended and from how long it has ended none.
+// request, from how its latest ones ended and from how long others have not.
+//
+// A backend server is sound, or it is in an episode in which it fails some part of
+// its requests, with errors or by not answering. Which of these holds is estimated
+// by Bayes' rule; between two requests an episode may have begun or ended.
 package suspicion
 
 import (
@@ -7,77 +11,124 @@
 	"time"
 )
 
-// Logarithms of odds. Evidence adds to them.
-const (
-	base    = -2.9 // Odds of a backend server of which nothing is known: one in nineteen.
-	lowest  = -1.8 // Least sum: a failure may have begun just now, whatever came before.
-	highest = 3.6  // Greatest sum: two answers after a failure ended make up for it.
+// state is what a backend server may do with its requests.
+type state struct {
+	usual  float64 // How likely it is while nothing is known,
+	least  float64 // and at least: an episode may have begun or ended just now.
+	errors float64 // Part of the requests that end with an error,
+	hangs  float64 // or do not end, of those that have not.
+}
 
-	// failure is what an error adds: a failing backend server answers half of its
-	// requests so, and others about one in twelve, mostly for calls that failed.
-	failure = 1.8
-)
+// states are the states that are told apart. The first one is that of a sound backend
+// server, whose calls and requests fail now and then, and whose requests may take very
+// long. One in twenty fails.
+var states = [...]state{
+	{usual: 0.95, least: 0.03, errors: 0.02, hangs: 0.003},
+	{usual: 0.0125, least: 0.0005, errors: 0.3, hangs: 0.3},
+	{usual: 0.0125, least: 0.0005, errors: 0.6, hangs: 0.6},
+	{usual: 0.0125, least: 0.0005, errors: 0.85, hangs: 0.85},
+	{usual: 0.0125, least: 0.0005, errors: 0.99, hangs: 0.99},
+}
 
 const (
-	// halfLife is the time in which evidence that nothing renews halves. Gray
-	// failures last for several seconds.
-	halfLife = 2500 * time.Millisecond
-
-	// hangPart is the part of its requests that a hanging backend server hangs.
-	hangPart = 0.85
+	// episode is the mean time for which a backend server fails, which the platform's
+	// protocol gives as several seconds.
+	episode = 3 * time.Second
 
 	// ageExponent shapes how rare long requests are among good ones: about one
 	// in three takes longer than the mean, and one in seventeen twice as long.
 	ageExponent = 1.5
-)
 
-// relief is what a good answer takes off: it is rarer from a backend server that
-// hangs.
-var relief = -math.Log(1 - hangPart)
+	// maxAge is the age, in usual times, from which a request is no longer told from
+	// one that never ends.
+	maxAge = 10
+)
 
 // Suspicion is that of one backend server. Its zero value knows nothing. It is
 // not safe for use by several goroutines at once.
 type Suspicion struct {
-	sum float64 // Evidence so far.
-	at  time.Time
+	likely [len(states)]float64 // How likely each state is; all zero if nothing is known.
+	at     time.Time
+	failed time.Time // When the latest request began that failed.
+}
+
+// Waited takes in that a request did not end between two ages, given as parts of
+// the time that it usually takes.
+func (s *Suspicion) Waited(now time.Time, from, to float64) {
+	a, b := survival(from), survival(to)
+	s.learn(now, func(st state) float64 { return st.unended(b) / st.unended(a) })
 }
 
-// Waited takes in that requests were running and did not end. The expected
-// number of those that a good backend server would have ended meanwhile is the
-// sum of what Expected gives for each of them.
-func (s *Suspicion) Waited(now time.Time, expected float64) {
-	s.sum, s.at = min(s.evidence(now)+hangPart*expected, highest), now
+// Good notes an answer to a request that began at some time and whose waiting was
+// taken in up to an age. It tells what the backend server did with new requests when
+// this one began: after a later failure it says nothing.
+func (s *Suspicion) Good(now, began time.Time, age float64) {
+	a := survival(age)
+	if began.Before(s.failed) {
+		s.learn(now, func(st state) float64 { return 1 / st.unended(a) })
+		return
+	}
+	s.learn(now, func(st state) float64 { return (1 - st.errors) / st.unended(a) })
 }
 
-// Good notes an answer.
-func (s *Suspicion) Good(now time.Time) {
-	s.sum, s.at = max(s.evidence(now)-relief, lowest), now
+// Bad notes a failure of such a request.
+func (s *Suspicion) Bad(now, began time.Time, age float64) {
+	a := survival(age)
+	if began.After(s.failed) {
+		s.failed = began
+	}
+	s.learn(now, func(st state) float64 { return st.errors / st.unended(a) })
 }
 
-// Bad notes a failure.
-func (s *Suspicion) Bad(now time.Time) {
-	s.sum, s.at = min(s.evidence(now)+failure, highest), now
+// Value returns the likelihood that a request fails which begins now.
+func (s *Suspicion) Value(now time.Time) float64 {
+	value := 0.0
+	for i, l := range s.present(now) {
+		value += l * states[i].errors
+	}
+	return value
 }
 
-func (s *Suspicion) evidence(now time.Time) float64 {
-	age := now.Sub(s.at)
-	if s.sum == 0 || age <= 0 {
-		return s.sum
+// present returns how likely each state is by now. What was known fades as episodes
+// begin and end.
+func (s *Suspicion) present(now time.Time) [len(states)]float64 {
+	kept := 0.0
+	if s.likely[0] > 0 {
+		kept = math.Exp(-max(now.Sub(s.at), 0).Seconds() / episode.Seconds())
+	}
+	var likely [len(states)]float64
+	for i, st := range states {
+		likely[i] = st.usual + (s.likely[i]-st.usual)*kept
 	}
-	return s.sum * math.Exp2(-age.Seconds()/halfLife.Seconds())
+	return likely
 }
 
-// Value returns the estimate, from 0 to 1.
-func (s *Suspicion) Value(now time.Time) float64 {
-	return 1 / (1 + math.Exp(-base-s.evidence(now)))
+// learn takes in an observation by how likely it is in each state.
+func (s *Suspicion) learn(now time.Time, likelihood func(state) float64) {
+	likely := s.present(now)
+	sum := 0.0
+	for i, st := range states {
+		likely[i] *= likelihood(st)
+		sum += likely[i]
+	}
+	whole := 0.0
+	for i := range likely {
+		likely[i] = max(likely[i]/sum, states[i].least)
+		whole += likely[i]
+	}
+	for i := range likely {
+		likely[i] /= whole
+	}
+	s.likely, s.at = likely, now
 }
 
-// Expected returns how often a good backend server would have ended a request
-// between two ages, given as parts of the time that it usually takes.
-func Expected(from, to float64) float64 {
-	return hazard(to) - hazard(from)
+// unended returns how likely a request has not ended if a part of good ones survives
+// to its age.
+func (s state) unended(survival float64) float64 {
+	return s.hangs + (1-s.hangs)*survival
 }
 
-func hazard(age float64) float64 {
-	return math.Pow(max(age, 0), ageExponent)
+// survival returns the part of good requests that take longer than an age.
+func survival(age float64) float64 {
+	return math.Exp(-math.Pow(min(max(age, 0), maxAge), ageExponent))
 }
--- a/internal/health/suspicion/suspicion_test.go
+++ b/internal/health/suspicion/suspicion_test.go
@@ -10,24 +10,39 @@
 	"filbertturn.example/filbertturn/internal/health/suspicion"
 )
 
+const (
+	step  = 5 * time.Millisecond
+	usual = 100 * time.Millisecond
+)
+
+var start = time.Unix(1000, 0)
+
+// request is one that runs at the backend server.
+type request struct {
+	began, ends time.Time
+	fails       bool
+}
+
+// workTime draws the time that a good request takes. The usual time is its mean.
+func workTime(r *rand.Rand) time.Duration {
+	took := math.Pow(-math.Log(1-r.Float64()), 1/1.5) / math.Gamma(1+1/1.5)
+	return time.Duration(took * float64(usual))
+}
+
+func age(q request, now time.Time) float64 {
+	return float64(max(now.Sub(q.began), 0)) / float64(usual)
+}
+
 // play runs requests at a backend server in a number of slots that are always
 // taken, and returns the part of the time during which it is doubted. Requests
 // take a usual time of 100 ms and hang with a likelihood.
 func play(slots int, hang float64, length time.Duration) float64 {
-	const (
-		step  = 5 * time.Millisecond
-		usual = 100 * time.Millisecond
-	)
 	r := rand.New(rand.NewPCG(1, uint64(slots)))
-	type request struct{ started, ends time.Time }
-	start := time.Unix(1000, 0)
 	begin := func(now time.Time) request {
 		if r.Float64() < hang {
-			return request{now, now.Add(20 * usual)}
+			return request{began: now, ends: now.Add(20 * usual), fails: true}
 		}
-		// The usual time is the mean of this distribution.
-		took := math.Pow(-math.Log(1-r.Float64()), 1/1.5) / math.Gamma(1+1/1.5)
-		return request{now, now.Add(time.Duration(took * float64(usual)))}
+		return request{began: now, ends: now.Add(workTime(r))}
 	}
 	running := make([]request, slots)
 	for i := range running {
@@ -36,18 +51,15 @@
 	var s suspicion.Suspicion
 	doubted, steps := 0, 0
 	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
-		expected := 0.0
 		for i, q := range running {
-			from, to := max(now.Add(-step).Sub(q.started), 0), now.Sub(q.started)
-			expected += suspicion.Expected(float64(from)/float64(usual), float64(to)/float64(usual))
+			s.Waited(now, age(q, now.Add(-step)), age(q, now))
 			if !now.Before(q.ends) {
-				if q.ends.Sub(q.started) < 10*usual {
-					s.Good(now)
+				if !q.fails {
+					s.Good(now, q.began, age(q, now))
 				}
 				running[i] = begin(now)
 			}
 		}
-		s.Waited(now, expected)
 		steps++
 		if s.Value(now) >= 0.2 {
 			doubted++
@@ -73,24 +85,103 @@
 // two answers in a row are enough to trust it, and one is not.
 func TestSuspicion_Good(t *testing.T) {
 	var s suspicion.Suspicion
-	now := time.Unix(1000, 0)
 	for range 20 {
-		s.Waited(now, 5)
+		s.Waited(start, 0, 5)
 	}
-	s.Good(now)
-	if got := s.Value(now); got < 0.2 {
+	s.Good(start, start, 0)
+	if got := s.Value(start); got < 0.2 {
 		t.Errorf("after one answer: got %.2f, want at least 0.2", got)
 	}
-	s.Good(now)
-	if got := s.Value(now); got >= 0.2 {
+	s.Good(start, start, 0)
+	if got := s.Value(start); got >= 0.2 {
 		t.Errorf("after two answers: got %.2f, want less than 0.2", got)
 	}
 }
 
+// TestSuspicion_Good_earlier answers a backend server that begins to fail while
+// requests of before still run: their answers do not restore the trust in it.
+func TestSuspicion_Good_earlier(t *testing.T) {
+	var s suspicion.Suspicion
+	failure := start.Add(time.Second)
+	s.Bad(failure, failure, 0)
+	s.Bad(failure.Add(step), failure.Add(step), 0)
+	doubt := s.Value(failure.Add(step))
+	for i := range 6 {
+		s.Good(failure.Add(2*step), start.Add(time.Duration(i)*step), 0)
+	}
+	if got := s.Value(failure.Add(2 * step)); got < 0.95*doubt {
+		t.Errorf("got %.2f after answers to requests that began before the failures, want about the %.2f of before", got, doubt)
+	}
+}
+
+// TestSuspicion_Value_episodes answers episodes of some seconds in which a backend
+// server fails a part of its requests within a millisecond, three in ten of the time:
+// of the requests that begin at an estimate, about as many fail.
+func TestSuspicion_Value_episodes(t *testing.T) {
+	const (
+		slots     = 4
+		mistakes  = 0.02 // Part of the requests that a sound backend server fails.
+		tolerance = 0.12
+		least     = 300 // Requests of which a part says something.
+	)
+	bounds := []float64{0, 0.03, 0.1, 0.3, 0.6, 1}
+	var begun, failed, expected [5]float64
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		var s suspicion.Suspicion
+		part, changes := mistakes, start
+		running := make([]request, slots)
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
+			if !now.Before(changes) {
+				if part = mistakes; r.Float64() < 0.3 {
+					part = 0.4 + 0.6*r.Float64()
+				}
+				changes = now.Add(time.Duration(r.ExpFloat64() * float64(3*time.Second)))
+			}
+			for i, q := range running {
+				if !q.began.IsZero() {
+					s.Waited(now, age(q, now.Add(-step)), age(q, now))
+					if now.Before(q.ends) {
+						continue
+					}
+					if q.fails {
+						s.Bad(now, q.began, age(q, now))
+					} else {
+						s.Good(now, q.began, age(q, now))
+					}
+					running[i] = request{}
+				}
+				if r.Float64() > 0.05 {
+					continue // The slot stays free for now.
+				}
+				value := s.Value(now)
+				bin := 0
+				for value >= bounds[bin+1] {
+					bin++
+				}
+				running[i] = request{began: now, ends: now.Add(workTime(r))}
+				begun[bin]++
+				expected[bin] += value
+				if r.Float64() < part {
+					running[i].fails, running[i].ends = true, now.Add(step)
+					failed[bin]++
+				}
+			}
+		}
+	}
+	for i := range begun {
+		got, want := failed[i]/begun[i], expected[i]/begun[i]
+		t.Logf("estimate from %.2f: %.0f requests, estimated %.3f, failed %.3f", bounds[i], begun[i], want, got)
+		if begun[i] >= least && math.Abs(got-want) > tolerance {
+			t.Errorf("estimate from %.2f: got %.3f of the requests failed, want about %.3f", bounds[i], got, want)
+		}
+	}
+}
+
 func ExampleSuspicion() {
 	var s suspicion.Suspicion
 	for range 3 {
-		s.Bad(time.Unix(0, 0))
+		s.Bad(time.Unix(0, 0), time.Unix(0, 0), 0)
 	}
 	fmt.Println(s.Value(time.Unix(0, 0)) > 0.5, s.Value(time.Unix(20, 0)) > 0.5)
 	// Output: true false
--- a/internal/node/host/execution.go
+++ b/internal/node/host/execution.go
@@ -24,6 +24,10 @@
 // any of it is passed on, so that one which is cut short is never begun.
 const maxGathered = 64 << 10
 
+// expiryMargin is the time before a deadline in which a backend server may have ended
+// its work for it. Both are on one VM and share its clock; the rest is processor time.
+const expiryMargin = 50 * time.Millisecond
+
 // execution is one request in a slot.
 type execution struct {
 	host     *Host
@@ -126,10 +130,19 @@
 		x.end(booking.Answered)
 		return
 	}
-	x.end(booking.Errored)
+	x.end(x.errored(status))
 	x.event().Int("Status", status).Msg("run ended with an error")
 }
 
+// errored tells what an error says of the backend server. It ends work at the
+// deadline, which a hurried caller may have set too early.
+func (x *execution) errored(status int) booking.Outcome {
+	if status == http.StatusGatewayTimeout && time.Until(x.order.Deadline) < expiryMargin {
+		return booking.Expired
+	}
+	return booking.Errored
+}
+
 // event starts a log line about the run, with what was known of the backend server
 // when it began and is known now.
 func (x *execution) event() *zerolog.Event {
@@ -174,6 +187,8 @@
 	switch f.Kind {
 	case kind.CancelledByCaller, kind.BrokenRequestBody, kind.DeadlineBeforeRun, kind.UnreachablePeer:
 		return booking.Abandoned
+	case kind.DeadlineDuringRun:
+		return booking.Expired
 	default:
 		return booking.Failed
 	}
