Keep repeats away from backend servers that are only tried

Cause: requests that may be repeated have two attempts by their routes, and the second one could be a trial of a suspected backend server as well: trials cost a repeat less than a free slot elsewhere.

Change: only first attempts try a suspected backend server, at the entry (ranking) and at the owner (booking).

Ruled out: no trials at all, by which nothing tells that an episode has ended.

--- a/internal/backend/booking/booking.go
+++ b/internal/backend/booking/booking.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// maxTrusted is the suspicion from which only requests that may be repeated
-	// are sent, one at a time, to learn whether the backend server recovered.
+	// maxTrusted is the suspicion from which only first attempts of requests that may
+	// be repeated are sent, one at a time, to learn whether the backend server
+	// recovered.
 	maxTrusted = 0.2
 
 	// maxQueued is the suspicion from which requests that could wait go elsewhere.
@@ -71,6 +72,12 @@
 	Objective  time.Duration // Time within which an answer is worth most.
 }
 
+// mayTry tells whether a suspected backend server may be tried with the request. One
+// that has failed elsewhere is sent to one that does well: few have a third attempt.
+func (t Ticket) mayTry() bool {
+	return t.Idempotent && !t.Repeat
+}
+
 // Outcome is how a request ended.
 type Outcome int
 
@@ -211,7 +218,7 @@
 	case !d.open:
 		return []Effect{d.refuse(t)}
 	case t.Level == order.Trusted && suspect >= maxTrusted:
-		if t.Idempotent && free > 0 && d.trialDue(now) {
+		if t.mayTry() && free > 0 && d.trialDue(now) {
 			return []Effect{d.start(now, t, true)}
 		}
 		return []Effect{d.refuse(t)}
--- a/internal/backend/booking/booking_test.go
+++ b/internal/backend/booking/booking_test.go
@@ -93,6 +93,36 @@
 	}
 }
 
+// TestDesk_Enter_repeat answers a request that failed elsewhere: it does not try a
+// suspected backend server, which would use up its last attempt.
+func TestDesk_Enter_repeat(t *testing.T) {
+	d := open(3)
+	d.Enter(at(0), ticket(1, order.Trusted))
+	d.Leave(at(time.Millisecond), 1, booking.Errored)
+	d.Enter(at(10*time.Millisecond), ticket(2, order.Any))
+	d.Leave(at(11*time.Millisecond), 2, booking.Errored)
+	repeat := ticket(3, order.Trusted)
+	repeat.Idempotent, repeat.Repeat = true, true
+	expect(t, "a repeat", d.Enter(at(time.Second), repeat), "refuse 3;")
+	first := ticket(4, order.Trusted)
+	first.Idempotent = true
+	expect(t, "a first attempt", d.Enter(at(time.Second), first), "start 4;")
+}
+
+// TestDesk_Leave_expired answers callers that are in a hurry: work that ends at a
+// deadline sooner than usual says nothing of the backend server.
+func TestDesk_Leave_expired(t *testing.T) {
+	d := open(3)
+	for i := range uint64(5) {
+		now := at(time.Duration(i) * 100 * time.Millisecond)
+		d.Enter(now, ticket(i, order.Trusted))
+		d.Leave(now.Add(10*time.Millisecond), i, booking.Expired)
+	}
+	if got := d.Load(at(500 * time.Millisecond)).Failing; got > 0.05 {
+		t.Errorf("got a likelihood of failure of %.2f after deadlines that passed early, want 0.05 at most", got)
+	}
+}
+
 // TestDesk_Enter_givenUp answers the load of entries that give up what takes
 // long because they were answered elsewhere: that counts against the backend
 // server, or a hanging one would never be noticed.
--- a/internal/backend/booking/load.go
+++ b/internal/backend/booking/load.go
@@ -18,16 +18,17 @@
 	Serving bool          // It takes requests.
 	Hold    time.Duration // Mean time that a request holds its slot; zero if unknown.
 	Unused  time.Duration // Time since a request began.
-	Trial   bool          // It is suspected and wants a request that may be repeated.
+	Trial   bool          // It is suspected and wants a request that may try it.
 }
 
-// Accepts tells whether a desk with this load lets a request begin or wait.
-func (l Load) Accepts(level order.Level, idempotent bool) bool {
+// Accepts tells whether a desk with this load lets a request begin or wait, which may
+// try a suspected backend server or not.
+func (l Load) Accepts(level order.Level, mayTry bool) bool {
 	switch {
 	case !l.Serving:
 		return false
 	case level == order.Trusted && l.Failing >= maxTrusted:
-		return idempotent && l.Trial
+		return mayTry && l.Trial
 	case level == order.Trusted:
 		return l.Waiting == 0 && l.Running < l.Slots
 	case level == order.Queued:
--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -126,14 +126,14 @@
 }
 
 // pick chooses a node and counts the request there.
-func (d *Dispatch) pick(o *order.Order, p step, exclude []netip.AddrPort) (netip.AddrPort, bool) {
+func (d *Dispatch) pick(o *order.Order, p step, repeat bool, exclude []netip.AddrPort) (netip.AddrPort, bool) {
 	now := time.Now()
 	own := d.Host.Load(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ranking.Hear(now, d.Self, own)
 	to, ok := d.ranking.Pick(now, ranking.Choice{
-		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Level: p.level, Idempotent: o.Idempotent,
+		Service: o.Service, DataCentre: d.DataCentre, Near: p.near, Level: p.level, MayTry: o.Idempotent && !repeat,
 		Exclude: exclude, Random: rand.Float64(),
 	})
 	if ok {
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -279,7 +279,8 @@
 			if ctx.Err() != nil {
 				return nil, failure.FromContext(ctx, false)
 			}
-			to, ok := s.dispatch.pick(&s.request.Order, p, append(s.excluded(), refused[p.level]...))
+			used := s.excluded()
+			to, ok := s.dispatch.pick(&s.request.Order, p, len(used) > 0, append(used, refused[p.level]...))
 			if !ok {
 				break
 			}
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -76,7 +76,7 @@
 	DataCentre string // Where the request is.
 	Near       bool   // Only nodes of that data centre.
 	Level      order.Level
-	Idempotent bool
+	MayTry     bool // It may try a suspected backend server that wants a trial.
 	Exclude    []netip.AddrPort
 	Random     float64 // From 0 to 1.
 }
@@ -237,7 +237,7 @@
 	case !c.load.Serving:
 		return c.heard.IsZero() || age >= askAgain
 	}
-	return age >= memory || c.load.Accepts(w.Level, w.Idempotent)
+	return age >= memory || c.load.Accepts(w.Level, w.MayTry)
 }
 
 // draws returns two numbers from 0 to 1 for a place of the order. Those of two
@@ -269,7 +269,7 @@
 
 func (c *candidate) cost(now time.Time, w Choice) float64 {
 	cost := max(c.busy(now), float64(c.inFlight)/float64(max(c.load.Slots, 1)))
-	if w.Idempotent && c.load.Trial && c.doubt == 0 {
+	if w.MayTry && c.load.Trial && c.doubt == 0 {
 		cost += trialCost
 	} else {
 		cost += failingCost * max(c.load.Failing*c.fresh(now), c.doubt*faded(now.Sub(c.doubted)))
--- a/internal/route/ranking/ranking_test.go
+++ b/internal/route/ranking/ranking_test.go
@@ -142,11 +142,11 @@
 	failing, trial := load(0, 0.3), load(0, 0.3)
 	trial.Trial = true
 	tests := []struct {
-		desc       string
-		loads      []booking.Load
-		level      order.Level
-		idempotent bool
-		want       []netip.AddrPort
+		desc   string
+		loads  []booking.Load
+		level  order.Level
+		mayTry bool
+		want   []netip.AddrPort
 	}{
 		{"full, must not wait", []booking.Load{load(3, 0), load(3, 0), load(1, 0)}, order.Trusted, false, []netip.AddrPort{far}},
 		{"full, may wait", []booking.Load{load(3, 0), load(4, 0), load(4, 0)}, order.Queued, false, []netip.AddrPort{near}},
@@ -157,7 +157,7 @@
 	for _, tt := range tests {
 		r := three(tt.loads...)
 		for i := range 100 {
-			a, ok := r.Pick(now, ranking.Choice{Service: "s", DataCentre: "a", Level: tt.level, Idempotent: tt.idempotent, Random: float64(i) / 100})
+			a, ok := r.Pick(now, ranking.Choice{Service: "s", DataCentre: "a", Level: tt.level, MayTry: tt.mayTry, Random: float64(i) / 100})
 			if ok != (tt.want != nil) || ok && !slices.Contains(tt.want, a) {
 				t.Fatalf("%s: got %s, %t, want one of %v", tt.desc, a, ok, tt.want)
 			}
