Pool half of the reserve of repeats for the nodes that need more

Cause: a service's reserve of 58 repeats in 10 s was divided among 32 nodes, two for each.

Change: half of the reserve is kept by the service's home, a node chosen by rendezvous hashing, and granted to nodes that have used up their part. A home that does not answer grants nothing, so that no two pools are used; a new one grants three tenths in its first window. Choosing a home and remembering who is silent, which limits do as well, are packages of their own now.

--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -17,7 +17,6 @@
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/peer/courier"
-	"filbertturn.example/filbertturn/internal/request/allowance"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/order"
@@ -25,21 +24,29 @@
 	"filbertturn.example/filbertturn/internal/route/ranking"
 )
 
+// Budget is that of the repeats of each service.
+type Budget interface {
+	// Request notes a request that is sent for the first time, and how likely it is a
+	// call of a repeat.
+	Request(service string, repeat float64)
+	// Allow takes a repeat out of the budget.
+	Allow(ctx context.Context, service string) bool
+}
+
 // Dispatch sends requests.
 type Dispatch struct {
 	Self       netip.AddrPort
 	DataCentre string
 	Host       courier.Host // Runs requests on the backend server beside this node.
 	Courier    *courier.Courier
-	Terms      func() allowance.Terms
+	Budget     Budget
 	Log        zerolog.Logger
 
 	// Heard is called with what another node told of its configuration.
 	Heard func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
 
-	mu         sync.Mutex // Guards the fields below.
-	ranking    ranking.Ranking
-	allowances map[string]*allowance.Allowance // By service.
+	mu      sync.Mutex // Guards the field below.
+	ranking ranking.Ranking
 }
 
 // Request is a request with what the route allows.
@@ -53,36 +60,11 @@
 // Forward sends r until a backend server answers, or it must not be or is not
 // worth being sent again. Its error is a *failure.Failure.
 func (d *Dispatch) Forward(ctx context.Context, r *Request) (*exchange.Answer, error) {
-	d.allowance(r.Order.Service, func(a *allowance.Allowance, t allowance.Terms) bool {
-		a.Request(time.Now(), t, r.Repeat)
-		return true
-	})
+	d.Budget.Request(r.Order.Service, r.Repeat)
 	s := &sending{dispatch: d, request: r, ctx: ctx}
 	return s.run()
 }
 
-func (d *Dispatch) allowance(service string, use func(*allowance.Allowance, allowance.Terms) bool) bool {
-	terms := d.Terms()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.allowances == nil {
-		d.allowances = make(map[string]*allowance.Allowance)
-	}
-	a := d.allowances[service]
-	if a == nil {
-		a = new(allowance.Allowance)
-		d.allowances[service] = a
-	}
-	return use(a, terms)
-}
-
-// mayRepeat takes a repeat out of the service's budget.
-func (d *Dispatch) mayRepeat(service string) bool {
-	return d.allowance(service, func(a *allowance.Allowance, t allowance.Terms) bool {
-		return a.Repeat(time.Now(), t)
-	})
-}
-
 // Know adds a node.
 func (d *Dispatch) Know(n ranking.Node) {
 	d.mu.Lock()
--- a/internal/node/dispatch/dispatch_test.go
+++ b/internal/node/dispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/node/dispatch"
+	"filbertturn.example/filbertturn/internal/node/repeats"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
@@ -89,8 +90,13 @@
 	courier.Accept(ctx, o, head, s)
 }
 
-// newDispatch returns an entry that knows two owners. The first one is nearer
-// and is asked first.
+// newBudget returns the budget of a node that shares it with none.
+func newBudget(t allowance.Terms) *repeats.Repeats {
+	return &repeats.Repeats{
+		Terms: func() allowance.Terms { return t }, Homes: func() []netip.AddrPort { return nil }, Log: zerolog.New(io.Discard),
+	}
+}
+
 // listen serves offers to an owner.
 func listen(t *testing.T, o *owner) netip.AddrPort {
 	t.Helper()
@@ -104,16 +110,16 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// newDispatch returns an entry that knows two owners. The first one is nearer
+// and is asked first.
 func newDispatch(t *testing.T, first, second *owner) *dispatch.Dispatch {
 	t.Helper()
 	mesh := link.New(nil, nil, first)
 	t.Cleanup(mesh.Close)
 	d := &dispatch.Dispatch{
 		Self: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "a", Host: &owner{refuse: true}, Courier: &courier.Courier{Mesh: mesh},
-		Terms: func() allowance.Terms {
-			return allowance.Terms{Ratio: 0.2, Reserve: 60, Window: 10 * time.Second, Nodes: 3}
-		},
-		Log: zerolog.New(io.Discard), Heard: func(netip.AddrPort, time.Time, freshness.Stamp) {},
+		Budget: newBudget(allowance.Terms{Ratio: 0.2, Reserve: 60, Window: 10 * time.Second, Nodes: 3}),
+		Log:    zerolog.New(io.Discard), Heard: func(netip.AddrPort, time.Time, freshness.Stamp) {},
 	}
 	for i, o := range []*owner{first, second} {
 		n := ranking.Node{Address: listen(t, o), DataCentre: []string{"a", "b"}[i], Service: "s"}
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -144,7 +144,7 @@
 	if !worth {
 		return false
 	}
-	allowed := o.err != nil && o.err.Kind == kind.UnreachableBackendServer || s.dispatch.mayRepeat(s.request.Order.Service)
+	allowed := o.err != nil && o.err.Kind == kind.UnreachableBackendServer || s.dispatch.Budget.Allow(s.ctx, s.request.Order.Service)
 	s.log("repeat", o, allowed)
 	return allowed
 }
@@ -188,7 +188,7 @@
 		case end := <-first:
 			return end
 		case <-timer.C:
-			waiting = s.count() == 0 || !s.dispatch.mayRepeat(o.Service)
+			waiting = s.count() == 0 || !s.dispatch.Budget.Allow(s.ctx, o.Service)
 		}
 	}
 	s.log("hedge", outcome{}, true)
--- a/internal/node/quotas/quotas.go
+++ b/internal/node/quotas/quotas.go
@@ -18,11 +18,13 @@
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/fleet/home"
 	"filbertturn.example/filbertturn/internal/limit/quota"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
+	"filbertturn.example/filbertturn/internal/peer/silence"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
 )
@@ -35,9 +37,6 @@
 	// home itself.
 	substituteTime = 250 * time.Millisecond
 
-	// silentPause is the time for which a node that did not answer is not asked.
-	silentPause = time.Second
-
 	// maxSilent is the number of silent nodes from which no substitute is asked:
 	// this node is probably the one that is cut off.
 	maxSilent = 3
@@ -58,9 +57,8 @@
 	// Heard is called with what a home told of its configuration.
 	Heard func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
 
-	shards [shardCount]shard
-	mu     sync.Mutex
-	silent map[netip.AddrPort]time.Time // Until when nodes are not asked.
+	silence silence.Silence
+	shards  [shardCount]shard
 }
 
 // shard holds the buckets of some customers.
@@ -79,12 +77,12 @@
 		return nil
 	}
 	homes := q.Homes()
-	home := homeOf(customer, homes)
+	keeper, _ := home.Key(customer).Among(homes)
 	var wait time.Duration
-	if home == q.Self {
+	if keeper == q.Self {
 		wait = q.take(time.Now(), customer, limit)
 	} else {
-		wait = q.admitElsewhere(ctx, customer, limit, homes, home)
+		wait = q.admitElsewhere(ctx, customer, limit, homes, keeper)
 	}
 	if wait == 0 {
 		return nil
@@ -95,11 +93,11 @@
 }
 
 // admitElsewhere admits a request whose home is another node.
-func (q *Quotas) admitElsewhere(ctx context.Context, customer string, l set.Limit, homes []netip.AddrPort, home netip.AddrPort) time.Duration {
-	if wait, ok := q.ask(ctx, home, question.Tokens, customer); ok {
+func (q *Quotas) admitElsewhere(ctx context.Context, customer string, l set.Limit, homes []netip.AddrPort, keeper netip.AddrPort) time.Duration {
+	if wait, ok := q.ask(ctx, keeper, question.Tokens, customer); ok {
 		return wait
 	}
-	switch substitute, ok := q.substitute(customer, homes, home); {
+	switch substitute, ok := q.substitute(customer, homes, keeper); {
 	case !ok:
 	case substitute == q.Self:
 		return q.pool(time.Now(), q.Self, customer, l, q.Nodes())
@@ -111,42 +109,21 @@
 	return q.share(time.Now(), customer, l, q.Nodes())
 }
 
-// homeOf chooses the home by rendezvous hashing.
-func homeOf(customer string, nodes []netip.AddrPort) netip.AddrPort {
-	best, _ := choose(customer, nodes, func(netip.AddrPort) bool { return true })
-	return best
-}
-
 // substitute chooses the node that is asked in place of the home. Nodes that reach
 // the same others choose alike.
-func (q *Quotas) substitute(customer string, nodes []netip.AddrPort, home netip.AddrPort) (netip.AddrPort, bool) {
+func (q *Quotas) substitute(customer string, nodes []netip.AddrPort, keeper netip.AddrPort) (netip.AddrPort, bool) {
 	now := time.Now()
 	silent := 0
-	best, ok := choose(customer, nodes, func(a netip.AddrPort) bool {
-		if q.isSilent(a, now) {
+	best, ok := home.Key(customer).AmongThose(nodes, func(a netip.AddrPort) bool {
+		if q.silence.Holds(now, a) {
 			silent++
 			return false
 		}
-		return a != home
+		return a != keeper
 	})
 	return best, ok && silent < maxSilent
 }
 
-// choose returns the node with the highest hash of those that fit.
-func choose(customer string, nodes []netip.AddrPort, fits func(netip.AddrPort) bool) (netip.AddrPort, bool) {
-	var best netip.AddrPort
-	var most uint64
-	for _, n := range nodes {
-		if !fits(n) {
-			continue
-		}
-		if h := xxhash.Sum64String(customer + "\x00" + n.String()); h >= most {
-			best, most = n, h
-		}
-	}
-	return best, best.IsValid()
-}
-
 // Answer admits a request for another node, as the customer's home.
 func (q *Quotas) Answer(now time.Time, payload []byte) ([]byte, error) {
 	m, limit, err := q.read(payload)
@@ -167,11 +144,11 @@
 	if err := asker.UnmarshalBinary(m.GetAsker()); err != nil {
 		return nil, err
 	}
-	home := homeOf(m.GetCustomer(), q.Homes())
-	if home == q.Self {
+	keeper, _ := home.Key(m.GetCustomer()).Among(q.Homes())
+	if keeper == q.Self {
 		return q.Answer(time.Now(), payload)
 	}
-	wait, ok := q.ask(ctx, home, question.Tokens, m.GetCustomer())
+	wait, ok := q.ask(ctx, keeper, question.Tokens, m.GetCustomer())
 	now := time.Now()
 	if !ok {
 		wait = q.pool(now, asker, m.GetCustomer(), limit, q.Nodes())
@@ -251,7 +228,7 @@
 
 // ask asks the home, or a substitute, for a token.
 func (q *Quotas) ask(ctx context.Context, to netip.AddrPort, kind question.Kind, customer string) (time.Duration, bool) {
-	if q.isSilent(to, time.Now()) {
+	if q.silence.Holds(time.Now(), to) {
 		return 0, false
 	}
 	limit := askTime
@@ -293,18 +270,7 @@
 	return proto.Marshal(&peerpb.TokenRequest{Customer: customer, Count: 1, Asker: self})
 }
 
-func (q *Quotas) isSilent(a netip.AddrPort, now time.Time) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return now.Before(q.silent[a])
-}
-
 func (q *Quotas) noteSilent(a netip.AddrPort, now time.Time, err error) {
-	q.mu.Lock()
-	if q.silent == nil {
-		q.silent = make(map[netip.AddrPort]time.Time)
-	}
-	q.silent[a] = now.Add(silentPause)
-	q.mu.Unlock()
-	q.Log.Warn().Err(err).Stringer("To", a).Dur("Pause", silentPause).Msg("node does not answer for a limit; others are asked, or this node's share counts")
+	q.silence.Note(now, a)
+	q.Log.Warn().Err(err).Stringer("To", a).Dur("Pause", silence.Pause).Msg("node does not answer for a limit; others are asked, or this node's share counts")
 }
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -30,6 +30,7 @@
 	"filbertturn.example/filbertturn/internal/node/ingress"
 	"filbertturn.example/filbertturn/internal/node/metrics"
 	"filbertturn.example/filbertturn/internal/node/quotas"
+	"filbertturn.example/filbertturn/internal/node/repeats"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
@@ -55,6 +56,10 @@
 	stopLimit    = 2
 	pollInterval = 50 * time.Millisecond
 
+	// pooledRepeats is the part of the reserve of repeats that nodes share as they need
+	// it. The rest is divided, so that a node which reaches no other may repeat.
+	pooledRepeats = 0.5
+
 	// idleInterval is the time between two looks for sessions that carry nothing.
 	idleInterval = 10 * time.Second
 )
@@ -108,6 +113,7 @@
 	dispatch  *dispatch.Dispatch
 	bulletin  *bulletin.Bulletin
 	quotas    *quotas.Quotas
+	repeats   *repeats.Repeats
 	metrics   *metrics.Metrics
 	closing   atomic.Bool
 	rounding  float64        // Of this node's part of the repeats.
@@ -130,8 +136,9 @@
 		Depot: p.Depot, Mesh: c.mesh, Load: c.host.Load, Log: log, Known: c.known, Heard: c.heard, Lost: c.lost,
 	}
 	c.follower.Neighbours, c.follower.Joined = c.discovery.Neighbours, c.discovery.Joined
+	c.repeats = &repeats.Repeats{Self: s.Peers, Mesh: c.mesh, Homes: c.discovery.Homes, Terms: c.terms, Log: log}
 	c.dispatch = &dispatch.Dispatch{
-		Self: s.Peers, DataCentre: s.DataCentre, Host: c.host, Courier: &courier.Courier{Mesh: c.mesh}, Terms: c.terms, Log: log,
+		Self: s.Peers, DataCentre: s.DataCentre, Host: c.host, Courier: &courier.Courier{Mesh: c.mesh}, Budget: c.repeats, Log: log,
 		Heard: c.follower.Hear,
 	}
 	c.bulletin = &bulletin.Bulletin{
@@ -166,7 +173,7 @@
 func (c *Sidecar) terms() allowance.Terms {
 	return allowance.Terms{
 		Ratio: c.settings.RepeatRatio, Reserve: c.settings.RepeatReserve,
-		Window: c.settings.RepeatWindow, Nodes: c.discovery.Nodes(), Rounding: c.rounding,
+		Window: c.settings.RepeatWindow, Nodes: c.discovery.Nodes(), Rounding: c.rounding, Pooled: pooledRepeats,
 	}
 }
 
@@ -195,6 +202,8 @@
 		return c.quotas.Answer(time.Now(), payload)
 	case question.SubstituteTokens:
 		return c.quotas.AnswerSubstitute(ctx, payload)
+	case question.Repeats:
+		return c.repeats.Answer(time.Now(), payload)
 	case question.Freshness:
 		return c.follower.AnswerFreshness(time.Now())
 	case question.Configuration:
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -20,4 +20,5 @@
 	Configuration                    // The configuration that the peer runs.
 	Loads                            // Loads of backend servers; answered with those that the peer knows.
 	SubstituteTokens                 // Tokens of a customer whose home does not answer the asker.
+	Repeats                          // A repeat out of the pooled budget of a service.
 )
--- /dev/null
+++ b/internal/peer/silence/silence_test.go
@@ -0,0 +1,34 @@
+package silence_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/peer/silence"
+)
+
+func TestSilence_Holds(t *testing.T) {
+	var s silence.Silence
+	now, node := time.Unix(1000, 0), netip.MustParseAddrPort("10.0.0.1:80")
+	tests := []struct {
+		desc string
+		at   time.Time
+		node netip.AddrPort
+		want bool
+	}{
+		{"at once", now, node, true},
+		{"before the pause ends", now.Add(silence.Pause - 1), node, true},
+		{"after it", now.Add(silence.Pause), node, false},
+		{"another node", now, netip.MustParseAddrPort("10.0.0.2:80"), false},
+	}
+	if s.Holds(now, node) {
+		t.Error("got a silent node in the zero value, want none")
+	}
+	s.Note(now, node)
+	for _, tt := range tests {
+		if got := s.Holds(tt.at, tt.node); got != tt.want {
+			t.Errorf("%s: got %t, want %t", tt.desc, got, tt.want)
+		}
+	}
+}
--- a/internal/request/allowance/allowance.go
+++ b/internal/request/allowance/allowance.go
@@ -12,11 +12,25 @@
 	Window  time.Duration // Length of the window that both count in.
 	Nodes   int           // Nodes that share the reserve.
 
+	// Pooled is the part of the reserve, from 0 to 1, that is not divided among the
+	// nodes but kept for those that need more than their own.
+	Pooled float64
+
 	// Rounding is added to this node's part before it is rounded down, from 0 to 1.
 	// Spread evenly over the nodes, it lets all of them together use the whole.
 	Rounding float64
 }
 
+// Pool returns the terms on which the pooled part is granted by a node that has kept it
+// for some time.
+func (t Terms) Pool(age time.Duration) Terms {
+	pool := Terms{Reserve: t.Pooled * t.Reserve, Window: t.Window}
+	if age < t.Window {
+		pool.Reserve *= newPool
+	}
+	return pool
+}
+
 const (
 	// kept is the part of the bounds that is used; the rest covers nodes that
 	// disagree on how many they are, and windows that end between two nodes'.
@@ -24,6 +38,10 @@
 
 	// slices is the number of parts of a window that are counted apart.
 	slices = 50
+
+	// newPool is the part of a pool that a new keeper grants in its first window: the
+	// one before it may have granted the rest just now.
+	newPool = 0.3
 )
 
 // Allowance is that of one node for one service. Its zero value has seen no
@@ -61,9 +79,12 @@
 		sum.requests += s.requests
 		sum.repeats += s.repeats
 	}
-	// A node has room for at least one, or it could never repeat a request while
-	// the reserve is small.
-	most := max(kept*(t.Ratio*float64(sum.requests)+t.Reserve/float64(max(t.Nodes, 1))), 1)
+	most := kept * (t.Ratio*float64(sum.requests) + (1-t.Pooled)*t.Reserve/float64(max(t.Nodes, 1)))
+	if t.Pooled == 0 {
+		// A node has room for at least one, or it could never repeat a request while
+		// the reserve is small.
+		most = max(most, 1)
+	}
 	if sum.repeats+1 > most+t.Rounding {
 		return false
 	}
