Let requests wait while a fleet restarts

Change: a request waits for the first configuration of a node that has just started, for 0.3 s or an eighth of its time at most, and for the first backend server of its service for half of its objective. A service that stays away for 2 s is refused at once: route/absence decides.

--- /dev/null
+++ b/internal/clock/signal/signal_test.go
@@ -0,0 +1,30 @@
+package signal_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/clock/signal"
+)
+
+func TestSignal_Wait(t *testing.T) {
+	var s signal.Signal
+	began := time.Now()
+	s.Wait(t.Context(), 20*time.Millisecond)
+	if took := time.Since(began); took < 20*time.Millisecond {
+		t.Errorf("got a wait of %s before the signal, want 20 ms", took)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.Wait(ended, time.Hour)
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { s.Wait(t.Context(), time.Hour) })
+	}
+	s.Set()
+	s.Set()
+	wg.Wait()
+	s.Wait(t.Context(), time.Hour)
+}
--- a/internal/node/dispatch/dispatch.go
+++ b/internal/node/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/order"
 	"filbertturn.example/filbertturn/internal/request/replay"
+	"filbertturn.example/filbertturn/internal/route/absence"
 	"filbertturn.example/filbertturn/internal/route/ranking"
 )
 
@@ -45,8 +46,9 @@
 	// Heard is called with what another node told of its configuration.
 	Heard func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
 
-	mu      sync.Mutex // Guards the field below.
-	ranking ranking.Ranking
+	mu       sync.Mutex // Guards the fields below.
+	ranking  ranking.Ranking
+	absences map[string]*absence.Absence // By service.
 }
 
 // Request is a request with what the route allows.
@@ -61,7 +63,7 @@
 // worth being sent again. Its error is a *failure.Failure.
 func (d *Dispatch) Forward(ctx context.Context, r *Request) (*exchange.Answer, error) {
 	d.Budget.Request(r.Order.Service, r.Repeat)
-	s := &sending{dispatch: d, request: r, ctx: ctx}
+	s := &sending{dispatch: d, request: r, ctx: ctx, came: time.Now()}
 	return s.run()
 }
 
@@ -130,14 +132,38 @@
 	return o.ContentLength < 0 || o.ContentLength >= large
 }
 
-// learn takes in the end of an offer.
-func (d *Dispatch) learn(to netip.AddrPort, r courier.Reply) {
+// missing returns how much longer a request may wait for a backend server of its
+// service, none of which is in service.
+func (d *Dispatch) missing(o *order.Order, came time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.absence(o.Service).Missing(time.Now(), came, o.Objective)
+}
+
+// absence returns what is known of a service. It is called with the lock.
+func (d *Dispatch) absence(service string) *absence.Absence {
+	if d.absences == nil {
+		d.absences = make(map[string]*absence.Absence)
+	}
+	a := d.absences[service]
+	if a == nil {
+		a = new(absence.Absence)
+		d.absences[service] = a
+	}
+	return a
+}
+
+// learn takes in the end of an offer for a service.
+func (d *Dispatch) learn(service string, to netip.AddrPort, r courier.Reply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.ranking.Done(to)
 	if r.Load != nil {
 		d.ranking.Hear(now, to, *r.Load)
+		if r.Load.Serving {
+			d.absence(service).Present()
+		}
 	}
 	if r.Err == nil {
 		return
--- a/internal/node/dispatch/dispatch_test.go
+++ b/internal/node/dispatch/dispatch_test.go
@@ -308,3 +308,34 @@
 		t.Errorf("got %d offers for a free slot, want %d", got, want)
 	}
 }
+
+// TestDispatch_Forward_absent answers a restart of all nodes: a request waits until the
+// first backend server of its service is in service, and not for one that stays away.
+func TestDispatch_Forward_absent(t *testing.T) {
+	back := &owner{status: 200}
+	d := newDispatch(t, &owner{}, &owner{})
+	request := func() *dispatch.Request {
+		r := newRequest(false, "")
+		r.Order.Service, r.Order.Objective = "t", time.Second
+		return r
+	}
+	node := ranking.Node{Address: listen(t, back), DataCentre: "a", Service: "t"}
+	time.AfterFunc(200*time.Millisecond, func() { know(d, node, 0) })
+	answer, err := d.Forward(t.Context(), request())
+	if err != nil {
+		t.Fatalf("got %v, want an answer once the backend server is in service", err)
+	}
+	_ = answer.Body.Close()
+	d.Forget(node.Address)
+	var took time.Duration
+	for range 3 {
+		began := time.Now()
+		if _, err := d.Forward(t.Context(), request()); failure.From(err).Kind != kind.NoCapacity {
+			t.Errorf("got %v for a service that is gone, want %s", err, kind.NoCapacity)
+		}
+		took += time.Since(began)
+	}
+	if want := 1700 * time.Millisecond; took > want {
+		t.Errorf("got three refusals after %s, want waits only while backend servers may come back, %s at most", took, want)
+	}
+}
--- a/internal/node/dispatch/sending.go
+++ b/internal/node/dispatch/sending.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/peer/courier"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -39,6 +40,10 @@
 	// leastRetryAfter is the least time to come back that a caller is told.
 	leastRetryAfter = 100 * time.Millisecond
 
+	// absencePause is the time between two looks for a backend server in service. They
+	// are local, as nodes tell when theirs comes into service.
+	absencePause = 50 * time.Millisecond
+
 	// spread is the greatest part that is added to it, so that callers do not
 	// come back together.
 	spread = 0.5
@@ -70,6 +75,7 @@
 	dispatch *Dispatch
 	request  *Request
 	ctx      context.Context
+	came     time.Time
 	tries    int // Attempts with those that did not run.
 
 	mu       sync.Mutex
@@ -179,15 +185,15 @@
 	if !o.Idempotent || s.request.Body != nil || s.count() >= s.request.Attempts-1 {
 		return <-first
 	}
-	timer := time.NewTicker(time.Duration(overduePart * float64(o.Objective)))
-	defer timer.Stop()
+	ticker := time.NewTicker(time.Duration(overduePart * float64(o.Objective)))
+	defer ticker.Stop()
 	// A request that waits in a queue has not been sent, and one that the budget
 	// does not allow now may be allowed later.
 	for waiting := true; waiting; {
 		select {
 		case end := <-first:
 			return end
-		case <-timer.C:
+		case <-ticker.C:
 			waiting = s.count() == 0 || !s.dispatch.Budget.Allow(s.ctx, o.Service)
 		}
 	}
@@ -263,9 +269,25 @@
 	return result
 }
 
-// place offers the request to one node after the other, first to those that can
-// start it at once, until one takes it.
+// place offers the request to one node after the other until one takes it. While no
+// backend server of the service is in service, it does so again for some time.
 func (s *sending) place(ctx context.Context) (*exchange.Answer, error) {
+	for {
+		answer, err := s.offerAll(ctx)
+		var none *absentError
+		if !errors.As(err, &none) || len(s.excluded()) > 0 {
+			return answer, err
+		}
+		wait := s.dispatch.missing(&s.request.Order, s.came)
+		if wait == 0 {
+			return answer, err
+		}
+		timer.Sleep(ctx, min(wait, absencePause))
+	}
+}
+
+// offerAll offers the request to nodes, first to those that can start it at once.
+func (s *sending) offerAll(ctx context.Context) (*exchange.Answer, error) {
 	plan := steps
 	if isLarge(&s.request.Order) {
 		plan = largeSteps
@@ -301,12 +323,16 @@
 			}
 		}
 	}
-	if last == nil {
-		return nil, failure.New(kind.NoCapacity, "no backend server of the service is known", nil)
-	}
 	// Nothing was sent, so that the caller may come back whatever the last node
 	// said or did not say.
-	return nil, &failure.Failure{Kind: kind.NoCapacity, RetryAfter: failure.From(last).RetryAfter, Err: &told}
+	f := &failure.Failure{Kind: kind.NoCapacity, Err: &told}
+	if last != nil {
+		f.RetryAfter = failure.From(last).RetryAfter
+	}
+	if !told.serving {
+		f.Err = &absentError{&told}
+	}
+	return nil, f
 }
 
 func (s *sending) excluded() []netip.AddrPort {
@@ -327,7 +353,7 @@
 		s.mu.Unlock()
 		return s.body()
 	})
-	s.dispatch.learn(to, reply)
+	s.dispatch.learn(o.Service, to, reply)
 	return reply
 }
 
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"filbertturn.example/filbertturn/internal/clock/signal"
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
@@ -42,6 +43,11 @@
 	// the depot, which takes milliseconds for each.
 	joinTime  = time.Second
 	joinPause = 20 * time.Millisecond
+
+	// startTime is the time in which a node that starts in a running fleet has a
+	// configuration: it joins and makes one more call. One that takes longer may do so
+	// for long, and its callers are better told at once.
+	startTime = joinTime
 )
 
 // Follower follows one key of the depot.
@@ -62,10 +68,12 @@
 	Joined func() bool
 
 	snapshot atomic.Pointer[snapshot.Snapshot]
+	first    signal.Signal // That there is a configuration.
 	fetching atomic.Bool
 	scout    scout.Scout
 
 	mu       sync.Mutex // Guards the fields below.
+	began    time.Time  // When Run began.
 	proof    freshness.Proof
 	value    []byte // The configuration as the operator wrote it.
 	revision int64  // Revision of the key that was read last.
@@ -76,6 +84,23 @@
 	return f.snapshot.Load()
 }
 
+// Await returns the configuration. While the node has just started and has none, it
+// waits for the first one, for at most some time.
+func (f *Follower) Await(ctx context.Context, most time.Duration) *snapshot.Snapshot {
+	if s := f.Snapshot(); s != nil {
+		return s
+	}
+	f.mu.Lock()
+	began := f.began
+	f.mu.Unlock()
+	// Before Run a node has not begun to look for one.
+	if !began.IsZero() {
+		most = min(most, time.Until(began.Add(startTime)))
+	}
+	f.first.Wait(ctx, most)
+	return f.Snapshot()
+}
+
 // Stamp returns what to tell other nodes.
 func (f *Follower) Stamp(now time.Time) freshness.Stamp {
 	f.mu.Lock()
@@ -85,6 +110,9 @@
 
 // Run asks the depot or the scout whenever the proof is too old, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.began = time.Now()
+	f.mu.Unlock()
 	f.awaitJoin(ctx)
 	reachable := true
 	for ctx.Err() == nil {
@@ -266,6 +294,7 @@
 	if newer {
 		f.value = value
 		f.snapshot.Store(compiled)
+		f.first.Set()
 	}
 	f.proof.Confirm(version, at)
 	f.mu.Unlock()
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -35,9 +35,14 @@
 )
 
 // configurationTime is the time in which a node that has started usually has a
-// configuration. Callers come back after one to two of it, not all together.
+// configuration. Requests wait for so long, and then come back after one to two of it,
+// not all together.
 const configurationTime = 300 * time.Millisecond
 
+// configurationPart of its time is the most that a request waits for the first
+// configuration of a node.
+const configurationPart = 8
+
 // maxTaken is the longest body, in bytes, that is read before the request waits. Longer
 // ones are read once there is a slot, and their callers' leave is noticed only then.
 const maxTaken = 64 << 10
@@ -71,13 +76,16 @@
 type Ingress struct {
 	Service   string // Service of the backend server beside the node.
 	Dialect   dialect.Dialect
-	Snapshot  func() *snapshot.Snapshot
 	Limiter   Limiter
 	Forwarder Forwarder
 	Recorder  Recorder
 	Closing   func() bool // Callers are to open new connections elsewhere.
 	Log       zerolog.Logger
 
+	// Configuration returns the configuration, or nil if there is none and none comes
+	// within some time.
+	Configuration func(ctx context.Context, most time.Duration) *snapshot.Snapshot
+
 	// Call is called when the backend server beside the node makes a request. It
 	// returns what is known of the request that it is made for, and what is called
 	// when this one ends.
@@ -150,8 +158,12 @@
 }
 
 // configure pins the configuration for the whole request.
-func (i *Ingress) configure(_ context.Context, p *pass) error {
-	p.snapshot = i.Snapshot()
+func (i *Ingress) configure(ctx context.Context, p *pass) error {
+	most := configurationTime
+	if p.caller.Remaining > 0 {
+		most = min(most, p.caller.Remaining/configurationPart)
+	}
+	p.snapshot = i.Configuration(ctx, most)
 	if p.snapshot == nil {
 		f := failure.New(kind.NoConfiguration, "", nil)
 		f.RetryAfter = configurationTime + rand.N(configurationTime)
--- a/internal/node/ingress/ingress_test.go
+++ b/internal/node/ingress/ingress_test.go
@@ -62,7 +62,7 @@
 		},
 	}, 1)
 	return &ingress.Ingress{
-		Service: "own", Dialect: p, Snapshot: func() *snapshot.Snapshot { return s }, Limiter: p, Forwarder: p, Recorder: p,
+		Service: "own", Dialect: p, Configuration: func(context.Context, time.Duration) *snapshot.Snapshot { return s }, Limiter: p, Forwarder: p, Recorder: p,
 		Closing: func() bool { return false }, Log: zerolog.New(io.Discard), Call: p.call,
 	}
 }
@@ -101,13 +101,20 @@
 // and has no configuration yet: they are told soon to come back, and do so when it
 // has one.
 func TestIngress_ServeHTTP_started(t *testing.T) {
-	p := &ports{}
+	p := &ports{remaining: 800 * time.Millisecond}
 	i := newIngress(p)
-	i.Snapshot = func() *snapshot.Snapshot { return nil }
+	var waits time.Duration
+	i.Configuration = func(_ context.Context, most time.Duration) *snapshot.Snapshot {
+		waits = most
+		return nil
+	}
 	i.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/call", nil))
 	if len(p.refused) != 1 {
 		t.Fatalf("got %d refusals, want one", len(p.refused))
 	}
+	if want := 100 * time.Millisecond; waits != want {
+		t.Errorf("got a wait of %s at most for a caller with 0.8 s, want %s", waits, want)
+	}
 	if f := p.refused[0]; f.Kind != kind.NoConfiguration || f.RetryAfter < 100*time.Millisecond || f.RetryAfter > time.Second {
 		t.Errorf("got %s and to come back after %s, want %s and 0.1 to 1 s", f.Kind, f.RetryAfter, kind.NoConfiguration)
 	}
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -264,7 +264,7 @@
 
 func (c *Sidecar) listen() error {
 	callers := &ingress.Ingress{
-		Service: c.settings.Service, Dialect: c.ports.Dialect, Snapshot: c.follower.Snapshot, Limiter: c.quotas,
+		Service: c.settings.Service, Dialect: c.ports.Dialect, Configuration: c.follower.Await, Limiter: c.quotas,
 		Forwarder: c.dispatch, Recorder: c, Closing: c.closing.Load, Log: c.log, Call: c.host.Call,
 	}
 	c.gauges()
