Do not wait for refusals and health answers that do not end

Played against each place that reads a backend server: the body of a refusal (503 or 429 with Not-Executed) that trickles held a request until its deadline, though it has not run and may go elsewhere; a health check read 448 MB in its second (TestHost_Announce_endless). Heads, informational answers, answers to other requests and answers' bodies were bounded already, by bytes or by the request's deadline.

Ruled out: ending an answer's body sooner than the deadline, since a long answer looks the same.

--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -30,9 +30,10 @@
 	idleTimeout    = 5 * time.Second // Age after which an idle connection is not used again.
 	maxInformation = 5               // Informational (1xx) answers before the final one.
 	maxHeaderBytes = 1 << 20
-	bufferSize     = 4096     // Bytes of each read and write buffer.
-	maxSettled     = 4 << 10  // Bytes of a refusal that are read for the sake of its connection.
-	maxSkipped     = 64 << 10 // Bytes of an answer to another request that are skipped.
+	bufferSize     = 4096                  // Bytes of each read and write buffer.
+	settleTime     = 10 * time.Millisecond // Time in which the rest of a refusal has to come, on the same VM.
+	maxSettled     = 4 << 10               // Bytes of a refusal that are read for the sake of its connection.
+	maxSkipped     = 64 << 10              // Bytes of an answer to another request that are skipped.
 )
 
 // Request is one attempt at one backend server.
@@ -224,8 +225,10 @@
 }
 
 // settle reads the rest of a short refusal, so that its connection can be used
-// again.
+// again. One that does not end at once is not waited for: the request can go elsewhere.
 func (x *exchange) settle(resp *http.Response) {
+	_ = x.conn.SetReadDeadline(time.Now().Add(settleTime))
+	defer func() { _ = x.conn.SetReadDeadline(time.Time{}) }()
 	_, err := io.CopyN(io.Discard, resp.Body, maxSettled)
 	x.finish(errors.Is(err, io.EOF) && !resp.Close)
 }
--- a/internal/node/host/check.go
+++ b/internal/node/host/check.go
@@ -24,8 +24,28 @@
 	// backend server full, as it is with the work of callers that are gone. The pause
 	// doubles each time.
 	checkPause = 100 * time.Millisecond
+
+	// maxHealthBody is the longest body of a health answer, in bytes. A backend server in
+	// trouble may send bytes without end.
+	maxHealthBody = 16 << 10
 )
 
+// unendedError reports an answer to a health check that was cut, or did not end.
+type unendedError struct {
+	err error // Nil if it is too long.
+}
+
+// Error implements the error interface.
+func (e *unendedError) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("answer to the health check is longer than %d bytes", maxHealthBody)
+	}
+	return fmt.Sprintf("answer to the health check is not whole: %s", e.err)
+}
+
+// Unwrap returns the cause.
+func (e *unendedError) Unwrap() error { return e.err }
+
 // unconfirmedError reports a health check that does not confirm an incarnation.
 type unconfirmedError struct {
 	status   int
@@ -91,10 +111,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = io.Copy(io.Discard, answer.Body)
+	_, err = io.CopyN(io.Discard, answer.Body, maxHealthBody)
 	_ = answer.Body.Close()
-	if err != nil {
-		return err
+	if !errors.Is(err, io.EOF) {
+		return &unendedError{err}
 	}
 	if said := h.Dialect.Answer(answer.Status, answer.Header); answer.Status != http.StatusOK || said.Instance != a.Instance {
 		return &unconfirmedError{status: answer.Status, instance: said.Instance}
--- a/internal/node/host/execution_test.go
+++ b/internal/node/host/execution_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,20 +60,24 @@
 	return nil
 }
 
-// newHost returns a host in service whose backend server is at an address.
-func newHost(t *testing.T, address netip.AddrPort, l *log) *host.Host {
-	t.Helper()
-	h := &host.Host{
+// newHost returns a host whose backend server is at an address.
+func newHost(address netip.AddrPort, l *log) *host.Host {
+	return &host.Host{
 		Address: address, Dialect: words{}, HealthPath: func(string) string { return "/healthz" }, Log: zerolog.New(l),
 		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, Changed: func() {},
 	}
+}
+
+// serve waits until a host's backend server is in service.
+func serve(t *testing.T, h *host.Host) {
+	t.Helper()
+	address := h.Address
 	h.Announce(tenure.Announcement{Instance: "i-1", Born: time.Now(), Sequence: 1, Service: "s", Address: address, Slots: 3})
 	for deadline := time.Now().Add(5 * time.Second); h.Service() == ""; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("got no backend server in service after 5 s, want one")
 		}
 	}
-	return h
 }
 
 func run(ctx context.Context, h *host.Host, id string, left time.Duration) (int, error) {
@@ -100,7 +105,8 @@
 	}))
 	defer server.Close()
 	var l log
-	h := newHost(t, netip.MustParseAddrPort(server.Listener.Addr().(*net.TCPAddr).String()), &l)
+	h := newHost(netip.MustParseAddrPort(server.Listener.Addr().(*net.TCPAddr).String()), &l)
+	serve(t, h)
 	if status, err := run(t.Context(), h, "r1", 2*time.Second); status != http.StatusInternalServerError || err != nil {
 		t.Fatalf("got %d and %v, want 500", status, err)
 	}
@@ -118,3 +124,36 @@
 		t.Errorf("got a likelihood of failure of %.3f before the error and %.3f after it, want it greater", before, after)
 	}
 }
+
+// TestHost_Announce_endless answers a backend server in trouble whose health answer
+// does not end: the check gives it up soon, and the backend server does not serve.
+func TestHost_Announce_endless(t *testing.T) {
+	var written atomic.Int64
+	closed := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(closed)
+		w.Header().Set("Request-ID", r.Header.Get("Request-ID"))
+		for {
+			n, err := w.Write(bytes.Repeat([]byte("x"), 1<<10))
+			if written.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	var l log
+	address := netip.MustParseAddrPort(server.Listener.Addr().(*net.TCPAddr).String())
+	h := newHost(address, &l)
+	h.Announce(tenure.Announcement{Instance: "i-1", Born: time.Now(), Sequence: 1, Service: "s", Address: address, Slots: 3})
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("got a health check that goes on for 5 s, want it given up")
+	}
+	if got, want := written.Load(), int64(16<<20); got > want {
+		t.Errorf("got %d bytes read, want at most %d", got, want)
+	}
+	if got := h.Service(); got != "" {
+		t.Errorf("got the service %q of a backend server whose check did not end, want none", got)
+	}
+}
