--- a/internal/admin/command/explain.go
+++ b/internal/admin/command/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -64,25 +65,10 @@
 // that nodes dropped.
 func readLog(in io.Reader, id string) ([]logLine, int, error) {
 	var lines []logLine
-	dropped := 0
-	s := bufio.NewScanner(in)
-	s.Buffer(nil, maxLogLine)
-	for s.Scan() {
-		start := strings.IndexByte(s.Text(), '{')
-		if start < 0 {
-			continue
-		}
+	dropped, err := scanLog(in, func(text []byte) {
 		var fields map[string]any
-		if json.Unmarshal(s.Bytes()[start:], &fields) != nil {
-			continue
-		}
-		if fields["Message"] == "log lines dropped" {
-			if n, ok := fields["Count"].(float64); ok {
-				dropped += int(n)
-			}
-		}
-		if fields["RequestID"] != id {
-			continue
+		if json.Unmarshal(text, &fields) != nil || fields["RequestID"] != id {
+			return
 		}
 		l := logLine{fields: fields}
 		l.node, _ = fields["Node"].(string)
@@ -92,12 +78,36 @@
 			l.at, _ = time.Parse(time.RFC3339Nano, text)
 		}
 		lines = append(lines, l)
+	})
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return lines, dropped, err
+}
+
+// scanLog calls f for each JSON object of the log, which may follow other text, and
+// returns the number of lines that nodes dropped.
+func scanLog(in io.Reader, f func(text []byte)) (int, error) {
+	dropped := 0
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		start := bytes.IndexByte(s.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		text := s.Bytes()[start:]
+		var line struct {
+			Message string
+			Count   int
+		}
+		if json.Unmarshal(text, &line) == nil && line.Message == "log lines dropped" {
+			dropped += line.Count
+		}
+		f(text)
 	}
 	if errors.Is(s.Err(), bufio.ErrTooLong) {
-		return nil, 0, fmt.Errorf("a log line is longer than %d bytes", maxLogLine)
+		return 0, fmt.Errorf("a log line is longer than %d bytes", maxLogLine)
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
-	return lines, dropped, s.Err()
+	return dropped, s.Err()
 }
 
 // describeFields returns the fields that a reader has not seen yet, by name.
--- a/internal/node/host/execution.go
+++ b/internal/node/host/execution.go
@@ -148,7 +148,7 @@
 func (x *execution) event() *zerolog.Event {
 	load := x.host.Load(time.Now())
 	return x.host.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Route", x.order.Route).
-		Bool("Idempotent", x.order.Idempotent).Bool("Nested", x.order.Nested).Uint32("Level", uint32(x.order.Level)).
+		Bool("Idempotent", x.order.Idempotent).Bool("Nested", x.order.Nested).Uint32("OfferLevel", uint32(x.order.Level)).
 		Dur("Took", time.Since(x.began)).Float64("FailingBefore", math.Round(x.failing*1000)/1000).
 		Float64("Failing", math.Round(load.Failing*1000)/1000).Int("Running", load.Running)
 }
