--- a/internal/clock/signal/signal_test.go
+++ b/internal/clock/latch/latch_test.go
@@ -1,4 +1,4 @@
-package signal_test
+package latch_test
 
 import (
 	"context"
@@ -6,15 +6,15 @@
 	"testing"
 	"time"
 
-	"filbertturn.example/filbertturn/internal/clock/signal"
+	"filbertturn.example/filbertturn/internal/clock/latch"
 )
 
-func TestSignal_Wait(t *testing.T) {
-	var s signal.Signal
+func TestLatch_Wait(t *testing.T) {
+	var s latch.Latch
 	began := time.Now()
 	s.Wait(t.Context(), 20*time.Millisecond)
 	if took := time.Since(began); took < 20*time.Millisecond {
-		t.Errorf("got a wait of %s before the signal, want 20 ms", took)
+		t.Errorf("got a wait of %s before the latch is set, want 20 ms", took)
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -15,7 +15,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
-	"filbertturn.example/filbertturn/internal/clock/signal"
+	"filbertturn.example/filbertturn/internal/clock/latch"
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
@@ -68,7 +68,7 @@
 	Joined func() bool
 
 	snapshot atomic.Pointer[snapshot.Snapshot]
-	first    signal.Signal // That there is a configuration.
+	first    latch.Latch // That there is a configuration.
 	fetching atomic.Bool
 	scout    scout.Scout
 
--- a/internal/request/allowance/allowance_test.go
+++ b/internal/request/allowance/allowance_test.go
@@ -108,6 +108,29 @@
 	})
 }
 
+// TestTerms_Pool_newKeeper answers a keeper that is replaced when it has granted all, in a
+// window in which all nodes use their parts: the sum keeps to the reserve.
+func TestTerms_Pool_newKeeper(t *testing.T) {
+	const nodes = 30
+	terms := allowance.Terms{Reserve: 60, Window: 10 * time.Second, Nodes: nodes, Pooled: 0.5}
+	now := time.Unix(1000, 0)
+	got := 0
+	use := func(terms allowance.Terms) {
+		for a := new(allowance.Allowance); a.Repeat(now, terms); {
+			got++
+		}
+	}
+	for i := range nodes {
+		terms.Rounding = float64(i) / nodes
+		use(terms)
+	}
+	use(terms.Pool(time.Minute))
+	use(terms.Pool(0))
+	if want := 60; got > want {
+		t.Errorf("got %d repeats in a window, want at most %d", got, want)
+	}
+}
+
 // TestTerms_Pool_uneven answers errors that strike the callers of three nodes of thirty,
 // a quarter of whose requests fail: they are repeated while the fleet's budget lasts.
 func TestTerms_Pool_uneven(t *testing.T) {
