--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -26,10 +26,10 @@
 // Bounds of connections to one backend server.
 const (
 	dialTimeout    = time.Second
-	maxIdle        = 8               // Idle connections that are kept.
-	idleTimeout    = 5 * time.Second // Age after which an idle connection is not used again.
-	maxInformation = 5               // Informational (1xx) answers before the final one.
-	maxHeaderBytes = 1 << 20
+	maxIdle        = 8                     // Idle connections that are kept.
+	idleTimeout    = 5 * time.Second       // Age after which an idle connection is not used again.
+	maxInformation = 5                     // Informational (1xx) answers before the final one.
+	maxHeaderBytes = 64 << 10              // Of an answer, as many as a caller may send.
 	bufferSize     = 4096                  // Bytes of each read and write buffer.
 	settleTime     = 10 * time.Millisecond // Time in which the rest of a refusal has to come, on the same VM.
 	maxSettled     = 4 << 10               // Bytes of a refusal that are read for the sake of its connection.
