Log the limits that backend servers name and the requests that count

On-call engineers could not tell why a limited backend server got too many requests: no log line named a limit, or a request that ended well at a backend server. The adapter now decodes the two new response headers, and the node logs each change of a limit and each start of a request under one.

--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -80,6 +80,10 @@
 	// connection may delimit a response.
 	Dialect dialect.Dialect
 
+	// OnResponse is called, unless nil, with the header of each response that is known to
+	// come from the backend server, and the time at which its request was sent.
+	OnResponse func(sent time.Time, r dialect.BackendResponse)
+
 	// DialTimeout limits the time to open a connection; zero means one second.
 	DialTimeout time.Duration
 
@@ -103,7 +107,7 @@
 		c.release(conn, true)
 		return nil, failure.FromContext(ctx, false)
 	}
-	x := &exchange{client: c, conn: conn, ctx: ctx, request: r, written: make(chan struct{})}
+	x := &exchange{client: c, conn: conn, ctx: ctx, request: r, sent: time.Now(), written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	go x.write()
 	answer, err := x.read()
@@ -120,6 +124,7 @@
 	conn     *conn
 	ctx      context.Context
 	request  *Request
+	sent     time.Time // Time before the first byte was sent.
 	stop     func() bool
 	once     sync.Once
 	written  chan struct{} // Closed once the request is written or has failed.
@@ -193,6 +198,9 @@
 	}
 	x.conn.adoptKeepAlive(resp.Header)
 	reply := x.interpret(resp)
+	if x.client.OnResponse != nil && !reply.Misdirected && (reply.ID == "" || reply.ID == x.request.ID) {
+		x.client.OnResponse(x.sent, reply)
+	}
 	switch {
 	case reply.Misdirected:
 		return nil, failure.New(kind.OtherIncarnation, "", nil)
--- a/internal/backend/incarnation/incarnation.go
+++ b/internal/backend/incarnation/incarnation.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Current returns the latest announcement of the current incarnation.
+func (t *Tracker) Current() Announcement { return t.current }
+
 // Serving returns the latest announcement of the current incarnation, and whether it is
 // in service: confirmed and not removed.
 func (t *Tracker) Serving() (Announcement, bool) {
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -37,7 +37,8 @@
 	client        *exchange.Client
 	instance      string
 	started       time.Time
-	failingBefore float64 // Failure probability of the backend server at the start.
+	failingBefore float64              // Failure probability of the backend server at the start.
+	limit         dialect.RequestLimit // Limit of the backend server at the start.
 	releaseOnce   sync.Once
 }
 
@@ -53,6 +54,7 @@
 	now := time.Now()
 	return &execution{
 		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: ex.scheduler.Load(now).FailureProbability,
+		limit: ex.limit,
 	}, nil
 }
 
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -50,6 +50,7 @@
 	tracker   incarnation.Tracker
 	scheduler scheduler.Scheduler
 	client    *exchange.Client
+	limit     dialect.RequestLimit             // As the current incarnation named it last.
 	waiters   map[uint64]chan scheduler.Effect // Requests that wait for a slot, by identifier.
 	timer     *time.Timer
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
@@ -118,7 +119,9 @@
 	if ex.client != nil {
 		ex.client.Close()
 	}
-	ex.client = &exchange.Client{Address: ex.Address, Dialect: ex.Dialect, DialTimeout: connectTimeout}
+	client := &exchange.Client{Address: ex.Address, Dialect: ex.Dialect, DialTimeout: connectTimeout}
+	client.OnResponse = func(_ time.Time, r dialect.BackendResponse) { ex.observeResponse(client, r) }
+	ex.client, ex.limit = client, dialect.RequestLimit{}
 }
 
 // openIfServing opens the scheduler if the current incarnation is confirmed, and reports
@@ -186,6 +189,7 @@
 		ex.release(id, scheduler.Cancelled)
 		return nil, err
 	}
+	x.logLimited()
 	reader, err := body()
 	if err != nil {
 		ex.release(id, scheduler.Cancelled)
--- a/internal/request/dialect/dialect.go
+++ b/internal/request/dialect/dialect.go
@@ -31,6 +31,16 @@
 	Misdirected bool   // Another incarnation has the address of the one that was expected.
 	ID          string // Identifier of the request that is answered; empty if not given.
 	InstanceID  string // Identifier of the answering incarnation; empty if not given.
+	Limit       RequestLimit
+	Leaving     bool  // The incarnation is leaving and takes no new requests.
+	Malformed   error // Why a field was ignored that could not be read; nil if none was.
+}
+
+// RequestLimit is the limit that a backend server names for the requests that it takes
+// from all nodes together. The zero value is no limit.
+type RequestLimit struct {
+	Named     bool
+	PerSecond float64 // Requests per second, finite and not negative.
 }
 
 // Dialect translates between headers and the types of this package. Implementations make
