Pace requests to backend servers by the limits that they name

Cause: the limit stood in each response and no decision read it. Slots and the queue alone paced a backend server, and entries ranked it as if it were idle.

Now the scheduler of a backend server starts requests by a token bucket at the limit, whatever their kind: first ones, retries, trials, nested ones and those that waited. The owner is the only sender, so its count is the fleet's; after its restart the bucket is empty, and the health check before service names the limit again. A limit ends with a response that lacks it to a request sent after it was last named. What the limit does not let start in time is refused at once, and loads tell entries how long it delays a further request, so that they ask others.

--- /dev/null
+++ b/internal/backend/scheduler/limit_test.go
@@ -0,0 +1,135 @@
+package scheduler_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertturn.example/filbertturn/internal/backend/scheduler"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+// limited returns a scheduler whose backend server has just named a limit.
+func limited(slots int, perSecond float64) *scheduler.Scheduler {
+	s := open(slots)
+	s.Limit(at(0), perSecond)
+	return s
+}
+
+// TestScheduler_Acquire_limit plays requests to a backend server that names a limit of 2 a
+// second, while it has free slots.
+func TestScheduler_Acquire_limit(t *testing.T) {
+	s := limited(3, 2)
+	expect(t, "no request left", s.Acquire(at(0), request(1, order.Trusted)), "refuse 1;")
+	expect(t, "queued", s.Acquire(at(0), request(2, order.Queued)), "wait 2;")
+	nested := request(3, order.Queued)
+	nested.Nested = true
+	expect(t, "queued, nested", s.Acquire(at(10*time.Millisecond), nested), "wait 3;")
+	if got, want := s.NextTick(), at(500*time.Millisecond); got.Before(want) || got.After(want.Add(time.Millisecond)) {
+		t.Errorf("got the next tick at %s, want %s", got, want)
+	}
+	expect(t, "at the tick", s.Tick(s.NextTick()), "start 3;")
+	expect(t, "answered", s.Release(at(550*time.Millisecond), 3, scheduler.Answered), "")
+	expect(t, "at the next", s.Tick(s.NextTick()), "start 2;")
+	s.Release(at(1050*time.Millisecond), 2, scheduler.Answered)
+	expect(t, "saved up", s.Acquire(at(2100*time.Millisecond), request(4, order.Trusted)), "start 4;")
+}
+
+// TestScheduler_Acquire_limit_refusesAtOnce guards against requests that wait in vain: the
+// limit does not let them start in time.
+func TestScheduler_Acquire_limit_refusesAtOnce(t *testing.T) {
+	s := limited(3, 2)
+	soon := func(id uint64) scheduler.Request {
+		r := request(id, order.Queued)
+		r.QueueDeadline = at(time.Second)
+		return r
+	}
+	expect(t, "first", s.Acquire(at(0), soon(1)), "wait 1;")
+	effects := s.Acquire(at(0), soon(2))
+	expect(t, "too late with some margin", effects, "refuse 2;")
+	if r, ok := effects[0].(scheduler.Refuse); !ok || r.RetryAfter < time.Second {
+		t.Errorf("got %+v, want a retry delay of at least 1 s, after which a request may start", effects[0])
+	}
+}
+
+// TestScheduler_Limit_waiting guards against requests that go on waiting although the limit
+// that was named meanwhile does not let them start in time.
+func TestScheduler_Limit_waiting(t *testing.T) {
+	s := open(1)
+	s.Acquire(at(0), request(1, order.Trusted))
+	for id := range uint64(4) {
+		r := request(id+2, order.Queued)
+		r.QueueDeadline = at(1200 * time.Millisecond)
+		expect(t, "queued", s.Acquire(at(time.Millisecond), r), []string{"wait 2;", "wait 3;", "wait 4;", "wait 5;"}[id])
+	}
+	expect(t, "limit named", s.Limit(at(10*time.Millisecond), 2), "refuse 4;refuse 5;")
+	expect(t, "limit falls", s.Limit(at(20*time.Millisecond), 1), "refuse 3;")
+}
+
+// TestScheduler_Unlimit guards against requests that wait for a limit that has ended.
+func TestScheduler_Unlimit(t *testing.T) {
+	s := limited(3, 1)
+	s.Acquire(at(0), request(1, order.Queued))
+	expect(t, "response to an earlier request", s.Unlimit(at(20*time.Millisecond), at(-time.Millisecond)), "")
+	expect(t, "response to a later request", s.Unlimit(at(30*time.Millisecond), at(10*time.Millisecond)), "start 1;")
+}
+
+// TestScheduler_Reset_limit guards against the limit of an incarnation that is gone.
+func TestScheduler_Reset_limit(t *testing.T) {
+	s := limited(3, 0)
+	s.Close(at(time.Second))
+	s.Reset()
+	s.Open(at(2*time.Second), 3)
+	expect(t, "another incarnation", s.Acquire(at(2*time.Second), request(1, order.Trusted)), "start 1;")
+}
+
+// TestScheduler_limit_bound guards against any kind of request that passes the limit: first
+// ones, retries, trials, nested ones and those that were waiting.
+func TestScheduler_limit_bound(t *testing.T) {
+	const window, factor, slack = 4 * time.Second, 1.5, 5
+	rapid.Check(t, func(t *rapid.T) {
+		s := open(rapid.IntRange(1, 8).Draw(t, "slots"))
+		rate := rapid.Float64Range(0, 6).Draw(t, "rate")
+		now := at(0)
+		var starts []time.Time
+		running := map[uint64]bool{}
+		play := func(effects []scheduler.Effect) {
+			for _, e := range effects {
+				if e, ok := e.(scheduler.Start); ok {
+					starts, running[e.ID] = append(starts, now), true
+				}
+			}
+		}
+		play(s.Limit(now, rate))
+		for id := range uint64(300) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "gap")) * time.Millisecond)
+			r := request(id, order.Level(rapid.IntRange(int(order.Trusted), int(order.Any)).Draw(t, "level")))
+			r.Nested, r.Idempotent, r.Retry = rapid.Bool().Draw(t, "nested"), rapid.Bool().Draw(t, "idempotent"), rapid.Bool().Draw(t, "retry")
+			r.Deadline, r.QueueDeadline = now.Add(4*time.Second), now.Add(2*time.Second)
+			play(s.Acquire(now, r))
+			ended := scheduler.Outcome(rapid.IntRange(int(scheduler.Answered), int(scheduler.Expired)).Draw(t, "outcome"))
+			for _, id := range slices.Sorted(maps.Keys(running)) {
+				if rapid.IntRange(0, 3).Draw(t, "end") == 0 {
+					delete(running, id)
+					play(s.Release(now, id, ended))
+				}
+			}
+			play(s.Limit(now, rate))
+			play(s.Tick(now))
+		}
+		for i, from := range starts {
+			got := 0
+			for _, at := range starts[i:] {
+				if at.Sub(from) < window {
+					got++
+				}
+			}
+			if want := int(factor*rate*window.Seconds()) + slack; got > want {
+				t.Fatalf("got %d requests in %s at a limit of %g a second, want at most %d", got, window, rate, want)
+			}
+		}
+	})
+}
--- a/internal/backend/scheduler/load.go
+++ b/internal/backend/scheduler/load.go
@@ -19,6 +19,8 @@
 	MeanSlotTime       time.Duration // Mean time that a request holds its slot; zero if unknown or out of date.
 	Idle               time.Duration // Time since a request was last started, at most 10 s.
 	TrialDue           bool          // It is suspected and a trial may start now.
+	LimitInterval      time.Duration // Least mean time between two requests by the limit that it names; zero if it names none.
+	LimitDelay         time.Duration // Time until that limit lets a further request start; negative if it could have started before.
 }
 
 // Accepts reports whether a backend server with this load would start or queue a
@@ -31,7 +33,7 @@
 	case level == order.Trusted && l.FailureProbability >= trialThreshold:
 		return trialAllowed && l.TrialDue
 	case level == order.Trusted:
-		return l.Waiting == 0 && l.Running < l.Slots
+		return l.Waiting == 0 && l.Running < l.Slots && l.LimitDelay <= 0
 	case level == order.Queued:
 		return l.FailureProbability < queueThreshold
 	}
--- a/internal/backend/scheduler/queue.go
+++ b/internal/backend/scheduler/queue.go
@@ -37,9 +37,9 @@
 			last = i
 		}
 	}
-	expected := s.expectedWait(ahead)
+	expected := s.expectedWait(now, ahead)
 	if start := now.Add(s.maxWait(now, t, expected)); s.usableSlots() == 0 || !s.meetsDeadline(start, t) {
-		return []Effect{s.refuse(t)}
+		return []Effect{s.refuse(now, t)}
 	}
 	if s.shouldShed(now, t) {
 		return []Effect{s.refuseOverloaded(t)}
@@ -47,9 +47,9 @@
 	var effects []Effect
 	if len(s.waiting) >= maxWaitingPerSlot*s.slots {
 		if !s.precedes(now, t, s.waiting[last].request) {
-			return []Effect{s.refuse(t)}
+			return []Effect{s.refuse(now, t)}
 		}
-		effects = append(effects, s.refuse(s.waiting[last].request))
+		effects = append(effects, s.refuse(now, s.waiting[last].request))
 		s.waiting = slices.Delete(s.waiting, last, last+1)
 	}
 	s.waiting = append(s.waiting, waitingRequest{request: t, enqueued: now, expectedWait: expected})
@@ -98,18 +98,41 @@
 
 // expectedWait returns the expected time until the request at a position of the queue
 // starts.
-func (s *Scheduler) expectedWait(position int) time.Duration {
-	return s.meanSlotTime() * time.Duration(position+1) / time.Duration(max(s.usableSlots(), 1))
+func (s *Scheduler) expectedWait(now time.Time, position int) time.Duration {
+	forSlot := s.meanSlotTime() * time.Duration(position+1) / time.Duration(max(s.usableSlots(), 1))
+	return max(forSlot, s.limiter.Delay(now, position+1))
+}
+
+// refuseBeyondLimit refuses the waiting requests that the limit does not let start in time:
+// another backend server may still answer them.
+func (s *Scheduler) refuseBeyondLimit(now time.Time) []Effect {
+	if s.limiter.Interval() == 0 {
+		return nil
+	}
+	slices.SortFunc(s.waiting, func(a, b waitingRequest) int {
+		if s.precedes(now, a.request, b.request) {
+			return -1
+		}
+		return 1
+	})
+	position := 0
+	return s.refuseWaiting(now, func(w waitingRequest) bool {
+		if !s.meetsDeadline(now.Add(s.limiter.Delay(now, position+1)), w.request) {
+			return true
+		}
+		position++
+		return false
+	})
 }
 
 // refuseWaiting refuses and removes the waiting requests for which match returns true.
-func (s *Scheduler) refuseWaiting(match func(waitingRequest) bool) []Effect {
+func (s *Scheduler) refuseWaiting(now time.Time, match func(waitingRequest) bool) []Effect {
 	var effects []Effect
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waitingRequest) bool {
 		if !match(w) {
 			return false
 		}
-		effects = append(effects, s.refuse(w.request))
+		effects = append(effects, s.refuse(now, w.request))
 		return true
 	})
 	return effects
@@ -117,7 +140,7 @@
 
 // fillSlots starts waiting requests in the free slots and appends to effects.
 func (s *Scheduler) fillSlots(now time.Time, effects []Effect) []Effect {
-	for s.open && len(s.waiting) > 0 && len(s.running) < s.slots {
+	for s.open && len(s.waiting) > 0 && len(s.running) < s.slots && s.limiter.Delay(now, 1) <= 0 {
 		first := 0
 		for i := range s.waiting {
 			if s.precedes(now, s.waiting[i].request, s.waiting[first].request) {
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 
 	"filbertturn.example/filbertturn/internal/backend/callchain"
 	"filbertturn.example/filbertturn/internal/backend/overload"
+	"filbertturn.example/filbertturn/internal/backend/ratelimit"
 	"filbertturn.example/filbertturn/internal/backend/waittime"
 	"filbertturn.example/filbertturn/internal/health/suspicion"
 	"filbertturn.example/filbertturn/internal/request/order"
@@ -156,6 +157,7 @@
 	failedCalls    []time.Time // Times of failed calls that have not yet explained the error of a request.
 	shedder        overload.Shedder
 	calls          callchain.Tracker // Correlates the calls of the backend server.
+	limiter        ratelimit.Limiter // Paces the starts of requests by the limit that the backend server names.
 }
 
 // Open accepts requests for the given number of slots, at least one, and starts those
@@ -166,9 +168,24 @@
 }
 
 // Close refuses waiting and future requests. Running requests keep their slots.
-func (s *Scheduler) Close() []Effect {
+func (s *Scheduler) Close(now time.Time) []Effect {
 	s.open = false
-	return s.refuseWaiting(func(waitingRequest) bool { return true })
+	return s.refuseWaiting(now, func(waitingRequest) bool { return true })
+}
+
+// Limit lets no more requests start than the given number per second, until Unlimit ends
+// the limit.
+func (s *Scheduler) Limit(now time.Time, perSecond float64) []Effect {
+	s.limiter.Set(now, perSecond)
+	return s.Tick(now)
+}
+
+// Unlimit ends the limit after a response without one to a request sent at the given time.
+func (s *Scheduler) Unlimit(now, sent time.Time) []Effect {
+	if !s.limiter.Clear(sent) {
+		return nil
+	}
+	return s.Tick(now)
 }
 
 // Reset discards what was learned about the backend server when another incarnation
@@ -177,6 +194,7 @@
 	s.suspicion = suspicion.Estimator{}
 	s.slotTime = 0
 	s.routeMeans = nil
+	s.limiter = ratelimit.Limiter{}
 }
 
 // Load returns the load to report to other nodes.
@@ -184,8 +202,9 @@
 	l := Load{
 		Running: len(s.running), Waiting: len(s.waiting), Slots: s.slots,
 		FailureProbability: s.failureProbability(now), Serving: s.open, Idle: min(max(now.Sub(s.lastStart), 0), maxIdle),
+		LimitInterval: s.limiter.Interval(), LimitDelay: s.limiter.Delay(now, len(s.waiting)+1),
 	}
-	l.TrialDue = l.FailureProbability >= trialThreshold && l.Running < l.Slots && s.trialDue(now)
+	l.TrialDue = l.FailureProbability >= trialThreshold && l.Running < l.Slots && l.LimitDelay <= 0 && s.trialDue(now)
 	if now.Sub(s.lastResponse) < slotTimeMaxAge {
 		l.MeanSlotTime = s.slotTime
 	}
@@ -224,23 +243,26 @@
 func (s *Scheduler) admit(now time.Time, t Request) []Effect {
 	suspect := s.failureProbability(now)
 	free := s.slots - len(s.running)
+	if s.limiter.Delay(now, 1) > 0 {
+		free = 0
+	}
 	switch {
 	case !s.open:
-		return []Effect{s.refuse(t)}
+		return []Effect{s.refuse(now, t)}
 	case t.Level == order.Trusted && suspect >= trialThreshold:
 		if t.trialAllowed() && free > 0 && s.trialDue(now) {
 			return []Effect{s.start(now, t, true)}
 		}
-		return []Effect{s.refuse(t)}
+		return []Effect{s.refuse(now, t)}
 	case t.Level == order.Queued && suspect >= queueThreshold:
-		return []Effect{s.refuse(t)}
+		return []Effect{s.refuse(now, t)}
 	case free > 0 && len(s.waiting) == 0:
 		if s.shouldShed(now, t) {
 			return []Effect{s.refuseOverloaded(t)}
 		}
 		return []Effect{s.start(now, t, false)}
 	case t.Level == order.Trusted:
-		return []Effect{s.refuse(t)}
+		return []Effect{s.refuse(now, t)}
 	}
 	return s.enqueue(now, t)
 }
@@ -306,6 +328,7 @@
 		s.running = make(map[uint64]*runningRequest)
 	}
 	s.lastStart = now
+	s.limiter.Take(now)
 	s.running[t.ID] = &runningRequest{request: t, started: now, activeAtStart: s.advanceActiveTime(now), trial: trial}
 	if trial {
 		s.nextTrial = now.Add(min(initialTrialInterval<<min(s.failedTrials, 8), maxTrialInterval))
@@ -313,8 +336,8 @@
 	return Start{ID: t.ID}
 }
 
-func (s *Scheduler) refuse(t Request) Refuse {
-	return Refuse{ID: t.ID, RetryAfter: s.expectedWait(len(s.waiting))}
+func (s *Scheduler) refuse(now time.Time, t Request) Refuse {
+	return Refuse{ID: t.ID, RetryAfter: s.expectedWait(now, len(s.waiting))}
 }
 
 // Release releases the slot of a running request that ended with outcome o, or removes
@@ -347,7 +370,7 @@
 	case Expired:
 		s.recordTrialFailure(r)
 	}
-	return s.fillSlots(now, s.Tick(now))
+	return s.Tick(now)
 }
 
 func (s *Scheduler) recordFailure(now time.Time, r *runningRequest) {
@@ -383,7 +406,7 @@
 
 // Tick marks overdue requests. It refuses waiting requests that can no longer be
 // answered in time, that have no usable slot to wait for, or that should not wait for
-// a suspected backend server.
+// a suspected backend server. It starts others that now may.
 func (s *Scheduler) Tick(now time.Time) []Effect {
 	for _, r := range s.running {
 		if s.advanceActiveTime(now)-r.activeAtStart >= s.overdueAge(r.request) {
@@ -393,13 +416,15 @@
 	stuck := s.usableSlots() == 0
 	// A single overdue request is no reason to refuse the whole queue.
 	suspected := s.failureProbability(now) >= queueThreshold
-	return s.refuseWaiting(func(w waitingRequest) bool {
+	effects := s.refuseWaiting(now, func(w waitingRequest) bool {
 		if !s.meetsDeadline(now, w.request) {
 			s.waitEstimator(w.request).Observe(now, w.expectedWait, now.Sub(w.enqueued))
 			return true
 		}
 		return stuck || suspected && w.request.Level < order.Any
 	})
+	effects = append(effects, s.refuseBeyondLimit(now)...)
+	return s.fillSlots(now, effects)
 }
 
 // NextTick returns the time at which Tick is due, or the zero time if no tick is needed.
@@ -420,6 +445,9 @@
 			}
 		}
 	}
+	if next := s.limiter.Next(); len(s.waiting) > 0 && len(s.running) < s.slots && !next.IsZero() {
+		sooner(next)
+	}
 	for _, w := range s.waiting {
 		sooner(w.request.Deadline.Add(-s.expectedDuration(w.request.Route)))
 		sooner(w.request.QueueDeadline)
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -50,7 +50,7 @@
 	tracker   incarnation.Tracker
 	scheduler scheduler.Scheduler
 	client    *exchange.Client
-	limit     dialect.RequestLimit             // As the current incarnation named it last.
+	malformed string                           // Latest log text about a header field that cannot be read.
 	waiters   map[uint64]chan scheduler.Effect // Requests that wait for a slot, by identifier.
 	timer     *time.Timer
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
@@ -106,11 +106,11 @@
 func (ex *Executor) apply(effect incarnation.Effect) {
 	switch effect.(type) {
 	case incarnation.Discovered:
-		ex.deliver(ex.scheduler.Close())
+		ex.deliver(ex.scheduler.Close(time.Now()))
 		ex.scheduler.Reset()
 		ex.resetClient()
 	case incarnation.Removed:
-		ex.deliver(ex.scheduler.Close())
+		ex.deliver(ex.scheduler.Close(time.Now()))
 	case incarnation.Updated, incarnation.Ignored:
 	}
 }
@@ -120,8 +120,8 @@
 		ex.client.Close()
 	}
 	client := &exchange.Client{Address: ex.Address, Dialect: ex.Dialect, DialTimeout: connectTimeout}
-	client.OnResponse = func(_ time.Time, r dialect.BackendResponse) { ex.observeResponse(client, r) }
-	ex.client, ex.limit = client, dialect.RequestLimit{}
+	client.OnResponse = func(sent time.Time, r dialect.BackendResponse) { ex.observeResponse(client, sent, r) }
+	ex.client = client
 }
 
 // openIfServing opens the scheduler if the current incarnation is confirmed, and reports
@@ -173,7 +173,7 @@
 func (ex *Executor) Close() {
 	ex.mu.Lock()
 	ex.closing = true
-	ex.deliver(ex.scheduler.Close())
+	ex.deliver(ex.scheduler.Close(time.Now()))
 	ex.mu.Unlock()
 	ex.OnServingChange()
 }
@@ -329,7 +329,7 @@
 func (ex *Executor) suspend(instance string, cause error) {
 	ex.mu.Lock()
 	serving := ex.scheduler.Load(time.Now()).Serving
-	ex.deliver(ex.scheduler.Close())
+	ex.deliver(ex.scheduler.Close(time.Now()))
 	ex.mu.Unlock()
 	if serving {
 		ex.Log.Warn().Err(cause).Str("Instance", instance).Msg("cannot connect to the backend server; out of service until its next heartbeat")
@@ -342,7 +342,7 @@
 func (ex *Executor) evict(instance string) {
 	ex.mu.Lock()
 	ex.tracker.Evict(instance)
-	ex.deliver(ex.scheduler.Close())
+	ex.deliver(ex.scheduler.Close(time.Now()))
 	ex.mu.Unlock()
 	ex.Log.Warn().Str("Instance", instance).Msg("incarnation taken out of service: another one answered at its address")
 	ex.OnServingChange()
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,7 +38,14 @@
 	h.Set("Request-ID", m.ID)
 }
 func (fakeDialect) ReadResponse(status int, h http.Header) (a dialect.BackendResponse) {
-	return dialect.BackendResponse{NotRun: status == http.StatusTooManyRequests, ID: h.Get("Request-ID"), InstanceID: "i-1"}
+	a = dialect.BackendResponse{NotRun: status == http.StatusTooManyRequests, ID: h.Get("Request-ID"), InstanceID: "i-1"}
+	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		a.Limit = dialect.RequestLimit{Named: true, PerSecond: rate}
+	}
+	if h.Get("Malformed") != "" {
+		a.Malformed = errors.New("malformed")
+	}
+	return a
 }
 
 // logBuffer collects log lines and may be read while it is written.
@@ -164,3 +173,45 @@
 		t.Errorf("got the service %q of a backend server whose health check failed, want none", got)
 	}
 }
+
+// TestExecutor_Run_limit guards against limits that are read wrongly: a field that cannot be
+// read is taken for the end of the limit, or a response that nobody asked for names one.
+func TestExecutor_Run_limit(t *testing.T) {
+	tests := []struct {
+		desc    string
+		header  http.Header
+		limited bool
+	}{
+		{"named", http.Header{"Limit": {"50"}}, true},
+		{"cannot be read", http.Header{"Malformed": {"1"}}, true},
+		{"named by a response without an identifier", http.Header{"Limit": {"40"}, "Request-Id": {""}}, true},
+		{"ended", http.Header{}, false},
+		{"named with a refusal", http.Header{"Limit": {"30"}, "Status": {"429"}}, true},
+	}
+	var answer atomic.Pointer[http.Header]
+	answer.Store(&http.Header{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-ID", r.Header.Get("Request-ID"))
+		for name, values := range *answer.Load() {
+			w.Header()[name] = values
+		}
+		if status, err := strconv.Atoi(w.Header().Get("Status")); err == nil {
+			w.WriteHeader(status)
+		}
+	}))
+	defer server.Close()
+	var l logBuffer
+	h := newExecutor(netip.MustParseAddrPort(server.Listener.Addr().(*net.TCPAddr).String()), &l)
+	startServing(t, h)
+	for _, tt := range tests {
+		answer.Store(&tt.header)
+		_, _ = runRequest(t.Context(), h, "r1", 2*time.Second)
+		if got := h.Load(time.Now()).LimitInterval > 0; got != tt.limited {
+			t.Errorf("%s: got limited %v, want %v", tt.desc, got, tt.limited)
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	if line := l.find("field of a response ignored: it cannot be read"); line == nil {
+		t.Error("got no log line for the field that cannot be read, want one")
+	}
+}
--- a/internal/node/executor/response.go
+++ b/internal/node/executor/response.go
@@ -1,33 +1,53 @@
 package executor
 
 import (
+	"time"
+
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 )
 
-// observeResponse takes note of what the header of a response says of the backend server.
-// It has no effect if the response came from an earlier incarnation.
-func (ex *Executor) observeResponse(from *exchange.Client, r dialect.BackendResponse) {
+// observeResponse takes note of what the header of a response to a request sent at the given
+// time says of the backend server. It has no effect if the response came from an earlier
+// incarnation.
+func (ex *Executor) observeResponse(from *exchange.Client, sent time.Time, r dialect.BackendResponse) {
 	ex.mu.Lock()
-	before, a := ex.limit, ex.tracker.Current()
-	current := from == ex.client
-	if current && r.Malformed == nil {
-		ex.limit = r.Limit
-	}
-	ex.mu.Unlock()
-	if !current || before == r.Limit && r.Malformed == nil {
+	defer ex.mu.Unlock()
+	if from != ex.client {
 		return
 	}
-	ex.Log.Info().AnErr("Malformed", r.Malformed).Str("Instance", a.InstanceID).Bool("Limited", r.Limit.Named).
-		Float64("PerSecond", r.Limit.PerSecond).Float64("Before", before.PerSecond).Msg("backend server changed its request limit")
+	if r.Malformed != nil {
+		ex.logMalformed(r.Malformed)
+	}
+	now := time.Now()
+	before := ex.scheduler.Load(now).LimitInterval
+	switch {
+	case r.Limit.Named:
+		ex.deliver(ex.scheduler.Limit(now, r.Limit.PerSecond))
+	case r.Malformed == nil && r.ID != "":
+		ex.deliver(ex.scheduler.Unlimit(now, sent))
+	}
+	if after := ex.scheduler.Load(now).LimitInterval; after != before {
+		ex.Log.Info().Str("Instance", ex.tracker.Current().InstanceID).Bool("Limited", after > 0).Float64("PerSecond", r.Limit.PerSecond).
+			Dur("IntervalBefore", before).Msg("backend server changed its request limit")
+	}
+}
+
+// logMalformed logs a header field that cannot be read, unless the one before was the same.
+// ex.mu must be held.
+func (ex *Executor) logMalformed(err error) {
+	if text := err.Error(); text != ex.malformed {
+		ex.malformed = text
+		ex.Log.Warn().Err(err).Str("Instance", ex.tracker.Current().InstanceID).Msg("field of a response ignored: it cannot be read")
+	}
 }
 
 // logLimited logs the start of a request at a backend server that limits its requests, so
 // that the requests that count against the limit can be told from the logs.
 func (x *execution) logLimited() {
-	if !x.limit.Named {
+	if x.limitInterval == 0 {
 		return
 	}
 	x.executor.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Route", x.order.Route).Bool("Nested", x.order.Nested).
-		Bool("Retry", x.order.Retry).Float64("PerSecond", x.limit.PerSecond).Msg("request started at a limited backend server")
+		Bool("Retry", x.order.Retry).Float64("PerSecond", 1/x.limitInterval.Seconds()).Msg("request started at a limited backend server")
 }
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -328,6 +328,12 @@
 	})
 	c.metrics.RegisterGauge("config_age_milliseconds", func() int64 { return c.syncer.Stamp(time.Now()).Age.Milliseconds() })
 	c.metrics.RegisterGauge("requests_at_backend_server", func() int64 { return int64(c.executor.InFlight()) })
+	c.metrics.RegisterGauge("backend_server_limit_per_minute", func() int64 {
+		if interval := c.executor.Load(time.Now()).LimitInterval; interval > 0 {
+			return int64(time.Minute / interval)
+		}
+		return 0
+	})
 	c.metrics.RegisterGauge("peer_sessions", func() int64 { return int64(c.mesh.SessionCount()) })
 	c.metrics.RegisterGauge("peer_sent_bytes", func() int64 { sent, _ := c.mesh.Traffic(); return sent })
 	c.metrics.RegisterGauge("peer_received_bytes", func() int64 { _, received := c.mesh.Traffic(); return received })
--- a/internal/peer/transport/offer.go
+++ b/internal/peer/transport/offer.go
@@ -304,7 +304,8 @@
 	return &peerpb.Load{
 		Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
 		Failing: float32(l.FailureProbability), Serving: l.Serving, HoldNanos: int64(l.MeanSlotTime), Trial: l.TrialDue,
-		UnusedMillis: uint32(l.Idle.Milliseconds()),
+		UnusedMillis:        uint32(l.Idle.Milliseconds()),
+		LimitIntervalMillis: uint32(l.LimitInterval.Milliseconds()), LimitDelayMillis: int32(l.LimitDelay.Milliseconds()),
 	}
 }
 
@@ -313,6 +314,8 @@
 	return scheduler.Load{
 		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()),
 		FailureProbability: float64(l.GetFailing()), Serving: l.GetServing(), MeanSlotTime: time.Duration(l.GetHoldNanos()), TrialDue: l.GetTrial(),
-		Idle: time.Duration(l.GetUnusedMillis()) * time.Millisecond,
+		Idle:          time.Duration(l.GetUnusedMillis()) * time.Millisecond,
+		LimitInterval: time.Duration(l.GetLimitIntervalMillis()) * time.Millisecond,
+		LimitDelay:    time.Duration(l.GetLimitDelayMillis()) * time.Millisecond,
 	}
 }
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -23,6 +23,9 @@
 	// whose load is unknown.
 	unknownUtilisation = 0.4
 
+	// unknownSlotTime is the assumed time that a request holds its slot while it is unknown.
+	unknownSlotTime = 100 * time.Millisecond
+
 	// remoteCost is the cost of a node in another data centre, in the unit of the
 	// utilisation of the slots.
 	remoteCost = 0.35
@@ -245,7 +248,29 @@
 	case !c.load.Serving:
 		return c.loadTime.IsZero() || age >= outOfServiceRetry
 	}
-	return age >= loadLifetime || c.load.Accepts(w.Level, w.AllowTrial)
+	load := c.load
+	load.LimitDelay = c.limitDelay(now)
+	return age >= loadLifetime || load.Accepts(w.Level, w.AllowTrial)
+}
+
+// limitDelay returns the time until the limit that the backend server names lets a further
+// request start, as estimated from its reported load and what was sent since; zero or less
+// if it may start now.
+func (c *candidate) limitDelay(now time.Time) time.Duration {
+	if c.load.LimitInterval == 0 {
+		return 0
+	}
+	return c.load.LimitDelay + time.Duration(c.sentSinceLoad)*c.load.LimitInterval - now.Sub(c.loadTime)
+}
+
+// limitCost returns the cost of waiting until the limit of the backend server lets a request
+// start.
+func (c *candidate) limitCost(now time.Time) float64 {
+	slotTime := c.load.MeanSlotTime
+	if slotTime == 0 {
+		slotTime = unknownSlotTime
+	}
+	return c.freshness(now) * float64(max(c.limitDelay(now), 0)) / float64(slotTime)
 }
 
 // draws returns two random numbers in [0, 1) for the node at an index of the sorted
@@ -281,7 +306,7 @@
 // cost returns the cost of sending the request to the node, without slownessCost and
 // jitter. Its unit is the utilisation of the slots.
 func (c *candidate) cost(now time.Time, w PickOptions) float64 {
-	cost := max(c.utilisation(now), float64(c.inFlight)/float64(max(c.load.Slots, 1)))
+	cost := max(c.utilisation(now), float64(c.inFlight)/float64(max(c.load.Slots, 1))) + c.limitCost(now)
 	if w.AllowTrial && c.load.TrialDue && c.localFailing == 0 {
 		cost += trialCost
 	} else {
