--- a/internal/backend/incarnation/incarnation.go
+++ b/internal/backend/incarnation/incarnation.go
@@ -142,6 +142,16 @@
 	return Removed{Announcement: t.current}
 }
 
+// Leave takes the current incarnation out of service, a response of which said that it is
+// leaving.
+func (t *Tracker) Leave() Effect {
+	if !t.known || t.removed {
+		return Ignored{Reason: "incarnation has left"}
+	}
+	t.removed = true
+	return Removed{Announcement: t.current}
+}
+
 // Evict takes an instance out of service whose address responded for another one.
 func (t *Tracker) Evict(instance string) {
 	if t.current.InstanceID == instance {
--- a/internal/backend/incarnation/incarnation_test.go
+++ b/internal/backend/incarnation/incarnation_test.go
@@ -10,7 +10,7 @@
 
 // step is one event: a heartbeat, a deregistration or a health check.
 type step struct {
-	kind      string // "beat", "leave", "check" (succeeded) or "doubt" (failed).
+	kind      string // "beat", "leave", "check" (succeeded), "doubt" (failed) or "said" (a response said that it leaves).
 	instance  string
 	startedAt int64
 	sequence  int64
@@ -33,6 +33,16 @@
 		{"second heartbeat", []step{{"beat", "a", 1, 1, incarnation.Ready, 0}, {"beat", "a", 1, 2, incarnation.Ready, 0}}, "a"},
 		{"repeated heartbeat", []step{{"beat", "a", 1, 1, incarnation.Ready, 0}, {"beat", "a", 1, 1, incarnation.Ready, 0}}, ""},
 		{"drained", []step{{"beat", "a", 1, 1, incarnation.Ready, 0}, {"check", "a", 0, 0, 0, 0}, {"beat", "a", 1, 2, incarnation.Draining, 0}}, ""},
+		{
+			"heartbeat after a response that said it leaves",
+			[]step{{"beat", "a", 1, 1, incarnation.Ready, 0}, {"check", "a", 0, 0, 0, 0}, {"said", "a", 0, 0, 0, 0}, {"beat", "a", 1, 2, incarnation.Ready, 0}},
+			"",
+		},
+		{
+			"restarted with the same identifier after a response that said it leaves",
+			[]step{{"beat", "a", 1, 1, incarnation.Ready, 0}, {"said", "a", 0, 0, 0, 0}, {"beat", "a", 2, 1, incarnation.Ready, 0}, {"check", "a", 0, 0, 0, 0}},
+			"a",
+		},
 		{
 			"late heartbeat after draining",
 			[]step{{"beat", "a", 1, 1, incarnation.Ready, 0}, {"beat", "a", 1, 3, incarnation.Draining, 0}, {"beat", "a", 1, 2, incarnation.Ready, 0}},
@@ -90,6 +100,8 @@
 				switch s.kind {
 				case "beat":
 					tracker.Heartbeat(incarnation.Announcement{ReceivedAt: start.Add(s.after), InstanceID: s.instance, StartedAt: time.UnixMilli(s.startedAt), Sequence: s.sequence, State: s.state})
+				case "said":
+					tracker.Leave()
 				case "doubt":
 					tracker.HealthCheckFailed(start.Add(s.after), s.instance)
 				case "check":
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -94,7 +94,7 @@
 	case incarnation.Updated:
 		ex.openIfServing(time.Now())
 	case incarnation.Removed:
-		ex.Log.Info().Str("Instance", e.Announcement.InstanceID).Int64("Sequence", e.Announcement.Sequence).Msg("backend server went out of service: draining or deregistered")
+		ex.Log.Info().Str("Instance", e.Announcement.InstanceID).Int64("Sequence", e.Announcement.Sequence).Msg("backend server went out of service: draining, leaving or deregistered")
 		ex.OnServingChange()
 	case incarnation.Ignored:
 		ex.Log.Debug().Str("Reason", e.Reason).Msg("heartbeat or deregistration ignored")
--- a/internal/node/executor/response.go
+++ b/internal/node/executor/response.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/backend/incarnation"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 )
 
@@ -12,10 +13,22 @@
 // incarnation.
 func (ex *Executor) observeResponse(from *exchange.Client, sent time.Time, r dialect.BackendResponse) {
 	ex.mu.Lock()
-	defer ex.mu.Unlock()
 	if from != ex.client {
+		ex.mu.Unlock()
 		return
 	}
+	ex.observeLimit(sent, r)
+	var effect incarnation.Effect
+	if r.Leaving {
+		effect = ex.tracker.Leave()
+		ex.apply(effect)
+	}
+	ex.mu.Unlock()
+	ex.notify(effect)
+}
+
+// observeLimit takes note of whether a response names a limit. ex.mu must be held.
+func (ex *Executor) observeLimit(sent time.Time, r dialect.BackendResponse) {
 	if r.Malformed != nil {
 		ex.logMalformed(r.Malformed)
 	}
