Prove that health checks and late responses count for the right incarnation

Two mutants survived: health checks whose headers tell nothing, and responses of an earlier incarnation that count for its successor. The test of leaving now restarts the node after the bound, and a new one answers late. Both find theirs.

--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -42,6 +42,7 @@
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit = dialect.RequestLimit{Named: true, PerSecond: rate}
 	}
+	a.Leaving = h.Get("Leaving") != ""
 	if h.Get("Malformed") != "" {
 		a.Malformed = errors.New("malformed")
 	}
@@ -215,3 +216,37 @@
 		t.Error("got no log line for the field that cannot be read, want one")
 	}
 }
+
+// TestExecutor_Run_limitOfEarlierIncarnation guards against a limit, or a notice of leaving,
+// that binds an incarnation which did not name it: a response of the one before comes late.
+func TestExecutor_Run_limitOfEarlierIncarnation(t *testing.T) {
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-ID", r.Header.Get("Request-ID"))
+		if r.URL.Path != "/healthz" {
+			close(arrived)
+			<-answer
+			w.Header().Set("Limit", "1")
+			w.Header().Set("Leaving", "1")
+		}
+	}))
+	defer server.Close()
+	var l logBuffer
+	h := newExecutor(netip.MustParseAddrPort(server.Listener.Addr().(*net.TCPAddr).String()), &l)
+	startServing(t, h)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = runRequest(t.Context(), h, "r1", 5*time.Second)
+	}()
+	<-arrived
+	h.Heartbeat(incarnation.Announcement{InstanceID: "i-1", StartedAt: time.Now(), Sequence: 1, Service: "s", Address: h.Address, Slots: 3})
+	close(answer)
+	<-ended
+	for deadline := time.Now().Add(5 * time.Second); h.Service() == "" && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if got := h.Load(time.Now()); got.LimitInterval != 0 || !got.Serving {
+		t.Errorf("got %+v of the new incarnation, want it in service without a limit", got)
+	}
+}
