Make the first health check once the configuration is known

Callers of a restarted node waited a heartbeat longer for its backend server, and a limit that it names was not learnt at the restart. Cause: a node that gets a heartbeat before its first configuration checked the health at the default path. The check waits for the configuration, at most 5 s; meanwhile a second heartbeat counts as before.

--- a/internal/node/executor/check.go
+++ b/internal/node/executor/check.go
@@ -62,15 +62,19 @@
 // confirm makes health checks to confirm that a new incarnation is the one that sent the
 // heartbeat and serves. If none succeeds, its next heartbeat confirms it.
 func (ex *Executor) confirm(a incarnation.Announcement) {
+	path := ex.HealthPath(a.Service)
+	if ex.settled(a) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	err := ex.probe(ctx, a)
+	err := ex.probe(ctx, path, a)
 	for delay := firstProbeDelay; err != nil && failure.From(err).Kind == kind.ShedByBackendServer; delay *= 2 {
 		timer.Sleep(ctx, delay)
 		if ctx.Err() != nil || ex.settled(a) {
 			break
 		}
-		err = ex.probe(ctx, a)
+		err = ex.probe(ctx, path, a)
 	}
 	if err != nil {
 		ex.recordFailedProbe(err, a)
@@ -106,12 +110,12 @@
 }
 
 // probe makes one health check.
-func (ex *Executor) probe(ctx context.Context, a incarnation.Announcement) error {
+func (ex *Executor) probe(ctx context.Context, path string, a incarnation.Announcement) error {
 	ex.mu.Lock()
 	client := ex.client
 	ex.mu.Unlock()
 	response, err := client.Do(ctx, &exchange.Request{
-		Method: http.MethodGet, Target: ex.HealthPath(a.Service), Host: ex.Address.String(), Header: http.Header{}, Idempotent: true,
+		Method: http.MethodGet, Target: path, Host: ex.Address.String(), Header: http.Header{}, Idempotent: true,
 	})
 	if err != nil {
 		return err
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -36,11 +36,14 @@
 // Executor runs requests on one backend server and follows whether it is in service. Its
 // methods may be called by several goroutines at once.
 type Executor struct {
-	Address    netip.AddrPort // Address of the backend server.
-	Dialect    dialect.Dialect
-	HealthPath func(service string) string         // Path of the service's health check.
-	Stamp      func(now time.Time) freshness.Stamp // Version and age of this node's configuration.
-	Log        zerolog.Logger
+	Address netip.AddrPort // Address of the backend server.
+	Dialect dialect.Dialect
+	Stamp   func(now time.Time) freshness.Stamp // Version and age of this node's configuration.
+	Log     zerolog.Logger
+
+	// HealthPath returns the path of the service's health check. A node without a
+	// configuration waits for one, as long as that may take.
+	HealthPath func(service string) string
 
 	// OnServingChange is called after the backend server came into or went out of
 	// service.
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -60,6 +60,9 @@
 	// is divided among them, so that a node that reaches no other can retry too.
 	pooledRetries = 0.5
 
+	// configurationTimeout bounds the wait of a health check for the first configuration.
+	configurationTimeout = 5 * time.Second
+
 	// idleCheckInterval is the interval of the check for idle sessions to peers.
 	idleCheckInterval = 10 * time.Second
 )
@@ -181,9 +184,10 @@
 	}
 }
 
-// healthPath returns the path of health checks of a service.
+// healthPath returns the path of health checks of a service. Before the first configuration it
+// waits for one.
 func (c *Sidecar) healthPath(service string) string {
-	if s := c.syncer.Snapshot(); s != nil {
+	if s := c.syncer.Await(context.Background(), configurationTimeout); s != nil {
 		for _, p := range s.Set().Pools {
 			if p.Service == service && p.Probe.Path != "" {
 				return p.Probe.Path
