Send few requests to a backend server before its first response

Cause: its node restarts while it hangs. The entries that were told of the limit are bound by it, but nothing has told the new process, whose seven requests are cancelled one after the other by callers who hedge. The class is that of a count which a restart empties.

Until a response of an incarnation shows whether it names a limit, one request starts, and one every two seconds. Responses count only with the identifier of their request now, and one to a health check may end a limit.

--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -80,8 +80,8 @@
 	// connection may delimit a response.
 	Dialect dialect.Dialect
 
-	// OnResponse is called, unless nil, with the header of each response that is known to
-	// come from the backend server, and the time at which its request was sent.
+	// OnResponse is called, unless nil, with the header of each response that carries the
+	// identifier of its request, and the time at which that request was sent.
 	OnResponse func(sent time.Time, r dialect.BackendResponse)
 
 	// DialTimeout limits the time to open a connection; zero means one second.
@@ -198,7 +198,7 @@
 	}
 	x.conn.adoptKeepAlive(resp.Header)
 	reply := x.interpret(resp)
-	if x.client.OnResponse != nil && !reply.Misdirected && (reply.ID == "" || reply.ID == x.request.ID) {
+	if x.client.OnResponse != nil && !reply.Misdirected && reply.ID == x.request.ID {
 		x.client.OnResponse(x.sent, reply)
 	}
 	switch {
--- a/internal/backend/ratelimit/limiter.go
+++ b/internal/backend/ratelimit/limiter.go
@@ -13,6 +13,10 @@
 	// minRate is the least rate, in requests per second. Without any request, no response
 	// would tell that a limit of zero has ended.
 	minRate = 0.2
+
+	// unknownRate is the rate, in requests per second, until a first response tells whether
+	// there is a limit. An earlier process may have sent what a limit allows.
+	unknownRate = 0.5
 )
 
 // Limiter is a token bucket at the rate that a backend server names. The zero value limits
@@ -22,19 +26,26 @@
 	level   float64 // Requests that may start at levelAt.
 	levelAt time.Time
 	namedAt time.Time // Time at which the limit was last named.
+	assumed bool      // No response has told yet whether there is a limit.
 }
 
 // Set records that a response named a limit in requests per second. The bucket of a new
 // limit is empty: what was sent before, perhaps by an earlier process, is not known.
 func (l *Limiter) Set(now time.Time, perSecond float64) {
-	if l.rate == 0 {
-		l.level, l.levelAt = 0, now
+	if l.rate == 0 || l.assumed {
+		l.level, l.levelAt = min(l.level, 0), now
 	}
 	l.refill(now)
-	l.rate, l.namedAt = max(perSecond, minRate), now
+	l.rate, l.namedAt, l.assumed = max(perSecond, minRate), now, false
 	l.refill(now)
 }
 
+// Assume lets one request start, and few others, until a response to a request sent after
+// now tells whether there is a limit.
+func (l *Limiter) Assume(now time.Time) {
+	*l = Limiter{rate: unknownRate, level: 1, levelAt: now, namedAt: now, assumed: true}
+}
+
 // Clear records a response without a limit to a request sent at the given time. It ends the
 // limit and returns true, unless the limit was named after that request was sent.
 func (l *Limiter) Clear(sent time.Time) bool {
--- a/internal/backend/ratelimit/limiter_test.go
+++ b/internal/backend/ratelimit/limiter_test.go
@@ -24,12 +24,13 @@
 }
 
 // TestLimiter_window guards against more requests in 4 s than one and a half times the limit
-// and five, whatever the pauses of the load, and however the limit changes and is lost.
+// and five, whatever the pauses of the load, and however the limit changes and is forgotten
+// by restarts.
 func TestLimiter_window(t *testing.T) {
 	const window, factor, slack = 4 * time.Second, 1.5, 5
 	rapid.Check(t, func(t *rapid.T) {
 		var l ratelimit.Limiter
-		now, rate := start, rapid.Float64Range(0, 12).Draw(t, "rate")
+		now, restarted, rate := start, time.Time{}, rapid.Float64Range(0, 12).Draw(t, "rate")
 		l.Set(now, rate)
 		var starts []time.Time
 		rates := []float64{rate}
@@ -44,7 +45,11 @@
 			case 1:
 				now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "pause")) * time.Millisecond)
 			case 2:
-				l = ratelimit.Limiter{}
+				if now.Sub(restarted) > window/2 {
+					restarted = now
+					l.Assume(now)
+				}
+			case 3:
 				l.Set(now, rate)
 			}
 			if l.Delay(now, 1) <= 0 {
--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -77,13 +77,17 @@
 	expect(t, "response to a later request", s.Unlimit(at(30*time.Millisecond), at(10*time.Millisecond)), "start 1;")
 }
 
-// TestScheduler_Reset_limit guards against the limit of an incarnation that is gone.
+// TestScheduler_Reset_limit guards against the limit of an incarnation that is gone, and
+// against many requests to one of which nobody knows whether it names a limit.
 func TestScheduler_Reset_limit(t *testing.T) {
 	s := limited(3, 0)
 	s.Close(at(time.Second))
-	s.Reset()
+	s.Reset(at(2 * time.Second))
 	s.Open(at(2*time.Second), 3)
 	expect(t, "another incarnation", s.Acquire(at(2*time.Second), request(1, order.Trusted)), "start 1;")
+	expect(t, "before its first response", s.Acquire(at(2*time.Second), request(2, order.Trusted)), "refuse 2;")
+	s.Unlimit(at(2100*time.Millisecond), at(2010*time.Millisecond))
+	expect(t, "after it", s.Acquire(at(2100*time.Millisecond), request(3, order.Trusted)), "start 3;")
 }
 
 // TestScheduler_limit_bound guards against any kind of request that passes the limit: first
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -189,12 +189,12 @@
 }
 
 // Reset discards what was learned about the backend server when another incarnation
-// replaces it.
-func (s *Scheduler) Reset() {
+// replaces it. Few requests start until Limit or Unlimit is called.
+func (s *Scheduler) Reset(now time.Time) {
 	s.suspicion = suspicion.Estimator{}
 	s.slotTime = 0
 	s.routeMeans = nil
-	s.limiter = ratelimit.Limiter{}
+	s.limiter.Assume(now)
 }
 
 // Load returns the load to report to other nodes.
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -37,8 +37,8 @@
 	client        *exchange.Client
 	instance      string
 	started       time.Time
-	failingBefore float64       // Failure probability of the backend server at the start.
-	limitInterval time.Duration // Time between two requests at the limit of the backend server; zero if it names none.
+	failingBefore float64              // Failure probability of the backend server at the start.
+	limit         dialect.RequestLimit // Limit that the backend server named last before the start.
 	releaseOnce   sync.Once
 }
 
@@ -52,10 +52,9 @@
 		return nil, failure.New(kind.NoCapacity, "the backend server has left", nil)
 	}
 	now := time.Now()
-	load := ex.scheduler.Load(now)
 	return &execution{
-		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: load.FailureProbability,
-		limitInterval: load.LimitInterval,
+		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: ex.scheduler.Load(now).FailureProbability,
+		limit: ex.limit,
 	}, nil
 }
 
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -53,6 +53,7 @@
 	tracker   incarnation.Tracker
 	scheduler scheduler.Scheduler
 	client    *exchange.Client
+	limit     dialect.RequestLimit             // As the current incarnation named it last.
 	malformed string                           // Latest log text about a header field that cannot be read.
 	waiters   map[uint64]chan scheduler.Effect // Requests that wait for a slot, by identifier.
 	timer     *time.Timer
@@ -110,7 +111,7 @@
 	switch effect.(type) {
 	case incarnation.Discovered:
 		ex.deliver(ex.scheduler.Close(time.Now()))
-		ex.scheduler.Reset()
+		ex.scheduler.Reset(time.Now())
 		ex.resetClient()
 	case incarnation.Removed:
 		ex.deliver(ex.scheduler.Close(time.Now()))
@@ -124,7 +125,7 @@
 	}
 	client := &exchange.Client{Address: ex.Address, Dialect: ex.Dialect, DialTimeout: connectTimeout}
 	client.OnResponse = func(sent time.Time, r dialect.BackendResponse) { ex.observeResponse(client, sent, r) }
-	ex.client = client
+	ex.client, ex.limit = client, dialect.RequestLimit{}
 }
 
 // openIfServing opens the scheduler if the current incarnation is confirmed, and reports
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -185,7 +185,7 @@
 	}{
 		{"named", http.Header{"Limit": {"50"}}, true},
 		{"cannot be read", http.Header{"Malformed": {"1"}}, true},
-		{"named by a response without an identifier", http.Header{"Limit": {"40"}, "Request-Id": {""}}, true},
+		{"response without an identifier", http.Header{"Request-Id": {""}}, true},
 		{"ended", http.Header{}, false},
 		{"named with a refusal", http.Header{"Limit": {"30"}, "Status": {"429"}}, true},
 	}
--- a/internal/node/executor/response.go
+++ b/internal/node/executor/response.go
@@ -33,16 +33,18 @@
 		ex.logMalformed(r.Malformed)
 	}
 	now := time.Now()
-	before := ex.scheduler.Load(now).LimitInterval
 	switch {
 	case r.Limit.Named:
 		ex.deliver(ex.scheduler.Limit(now, r.Limit.PerSecond))
-	case r.Malformed == nil && r.ID != "":
+	case r.Malformed == nil:
 		ex.deliver(ex.scheduler.Unlimit(now, sent))
+	default:
+		return
 	}
-	if after := ex.scheduler.Load(now).LimitInterval; after != before {
-		ex.Log.Info().Str("Instance", ex.tracker.Current().InstanceID).Bool("Limited", after > 0).Float64("PerSecond", r.Limit.PerSecond).
-			Dur("IntervalBefore", before).Msg("backend server changed its request limit")
+	if before := ex.limit; before != r.Limit {
+		ex.limit = r.Limit
+		ex.Log.Info().Str("Instance", ex.tracker.Current().InstanceID).Bool("Limited", r.Limit.Named).Float64("PerSecond", r.Limit.PerSecond).
+			Float64("PerSecondBefore", before.PerSecond).Msg("backend server changed its request limit")
 	}
 }
 
@@ -58,9 +60,9 @@
 // logLimited logs the start of a request at a backend server that limits its requests, so
 // that the requests that count against the limit can be told from the logs.
 func (x *execution) logLimited() {
-	if x.limitInterval == 0 {
+	if !x.limit.Named {
 		return
 	}
 	x.executor.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Route", x.order.Route).Bool("Nested", x.order.Nested).
-		Bool("Retry", x.order.Retry).Float64("PerSecond", 1/x.limitInterval.Seconds()).Msg("request started at a limited backend server")
+		Bool("Retry", x.order.Retry).Float64("PerSecond", x.limit.PerSecond).Msg("request started at a limited backend server")
 }
