Send nothing to backend servers of an evacuated data centre

The super-peer of each data centre asks the store for the key of its own, the other nodes ask the super-peer, and the store itself once they know nothing recent; the node beside each backend server then takes it out of service. Only where the settings bound an evacuation: others make no call more. A restarted node serves once it knows.

--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -60,6 +60,7 @@
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
 	lastID    uint64    // Identifier of the latest request.
 	closing   bool
+	evacuated bool
 	inFlight  int // Requests that run or wait.
 }
 
@@ -134,13 +135,13 @@
 	ex.mu.Lock()
 	a, serving := ex.tracker.Serving()
 	wasServing := ex.scheduler.Load(now).Serving
-	if serving && !ex.closing {
+	if serving && !ex.closing && !ex.evacuated {
 		if ex.client == nil {
 			ex.resetClient()
 		}
 		ex.deliver(ex.scheduler.Open(now, a.Slots))
 	}
-	changed := serving && !wasServing && !ex.closing
+	changed := ex.scheduler.Load(now).Serving && !wasServing
 	ex.mu.Unlock()
 	if changed {
 		ex.Log.Info().Str("Instance", a.InstanceID).Str("Service", a.Service).Int("Slots", a.Slots).Msg("backend server in service")
@@ -173,6 +174,22 @@
 	return ex.inFlight
 }
 
+// SetEvacuated refuses new requests and those that wait for a slot while evacuated is true.
+// Running ones go on.
+func (ex *Executor) SetEvacuated(evacuated bool) {
+	ex.mu.Lock()
+	ex.evacuated = evacuated
+	wasServing := ex.scheduler.Load(time.Now()).Serving
+	if evacuated {
+		ex.deliver(ex.scheduler.Close(time.Now()))
+	}
+	ex.mu.Unlock()
+	if evacuated && wasServing {
+		ex.OnServingChange()
+	}
+	ex.openIfServing(time.Now())
+}
+
 // Close refuses new requests and those that wait for a slot. Running ones go on.
 func (ex *Executor) Close() {
 	ex.mu.Lock()
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -24,6 +24,7 @@
 	"filbertturn.example/filbertturn/internal/node/configsync"
 	"filbertturn.example/filbertturn/internal/node/discovery"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
+	"filbertturn.example/filbertturn/internal/node/evacuation"
 	"filbertturn.example/filbertturn/internal/node/executor"
 	"filbertturn.example/filbertturn/internal/node/gossip"
 	"filbertturn.example/filbertturn/internal/node/ingress"
@@ -97,6 +98,7 @@
 type Adapter struct {
 	Store               kvstore.Store
 	ConfigurationKey    string
+	EvacuationKey       string // Key that exists while the node's data centre is evacuated; empty if none may be.
 	DecodeConfiguration func(value []byte) (uint64, set.Set, error)
 	Dialect             dialect.Dialect
 	ReadyHandler        func(ready func() bool) http.Handler
@@ -117,6 +119,7 @@
 	gossiper      *gossip.Gossiper
 	quotaEnforcer *quotas.Enforcer
 	retryBudget   *retrybudget.Budget
+	evacuation    *evacuation.Watcher // Nil if data centres are not evacuated.
 	metrics       *metrics.Metrics
 	closing       atomic.Bool
 	retryRounding float64        // Added to this node's part of the retry reserve before it is rounded down, from 0 to 1.
@@ -154,6 +157,14 @@
 		Self: s.PeerAddress, Mesh: c.mesh, Nodes: c.discovery.NodeCount, Homes: c.discovery.Homes, Snapshot: c.syncer.Snapshot, Log: log,
 		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp,
 	}
+	if adapter.EvacuationKey != "" {
+		c.evacuation = &evacuation.Watcher{
+			Store: adapter.Store, Mesh: c.mesh, Key: adapter.EvacuationKey, Log: log, Self: s.PeerAddress, Neighbours: c.discovery.Neighbours,
+			OnChange: c.executor.SetEvacuated,
+		}
+		// Until the state is known, the data centre may be evacuated.
+		c.executor.SetEvacuated(true)
+	}
 	c.executor.OnServingChange = func() { c.discovery.Announce(context.Background()) }
 	c.addNode(c.discovery.Self)
 	return c
@@ -218,6 +229,11 @@
 		return c.syncer.AnswerFreshness(time.Now())
 	case question.Configuration:
 		return c.syncer.AnswerConfiguration(time.Now())
+	case question.Evacuation:
+		if c.evacuation != nil {
+			return c.evacuation.Answer(time.Now())
+		}
+		return nil, errors.New("data centres are not evacuated")
 	case question.Loads:
 		return c.gossiper.Answer(time.Now(), payload)
 	default:
@@ -249,6 +265,9 @@
 		return err
 	}
 	go c.syncer.Run(ctx)
+	if c.evacuation != nil {
+		go c.evacuation.Run(ctx)
+	}
 	c.discovery.Start(ctx, &c.timers)
 	c.gossiper.Start(ctx, &c.timers)
 	c.timers.Subscribe(idleCheckInterval, func(t timer.Tick) { c.mesh.CloseIdle(t.Now) })
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -21,4 +21,5 @@
 	Loads                            // Loads of backend servers; the reply holds those that the peer knows.
 	SubstituteTokens                 // Tokens of a customer whose home does not answer the sender.
 	PooledRetry                      // One retry from the pooled retry budget of a service.
+	Evacuation                       // Whether the data centre is evacuated, as the peer knows it.
 )
