Pace requests to backend servers in their cold start

A backend server says in its heartbeats how long it stays cold, and the configuration how many requests a second it takes then; the time was decoded and bound no decision, as the limits were. The slots alone allow more: eight slots and calls of 60 ms are 130 requests a second, where a rate of 14 allows 29.

A second bucket in the scheduler paces the starts until the announced end. What is saved up now covers half a second instead of a whole one, so that a second has at most one and a half times the rate.

--- a/internal/backend/ratelimit/limiter.go
+++ b/internal/backend/ratelimit/limiter.go
@@ -8,7 +8,7 @@
 const (
 	// burstTime is the time for which requests that the limit allows can be saved up, so
 	// that a pause in the load does not waste them.
-	burstTime = time.Second
+	burstTime = 500 * time.Millisecond
 
 	// minRate is the least rate, in requests per second. Without any request, no response
 	// would tell that a limit of zero has ended.
--- /dev/null
+++ b/internal/backend/scheduler/limit.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/ratelimit"
+)
+
+// Limit lets no more requests start than the given number per second, until Unlimit ends
+// the limit.
+func (s *Scheduler) Limit(now time.Time, perSecond float64) []Effect {
+	s.limiter.Set(now, perSecond)
+	return s.Tick(now)
+}
+
+// Unlimit ends the limit after a response without one to a request sent at the given time.
+func (s *Scheduler) Unlimit(now, sent time.Time) []Effect {
+	if !s.limiter.Clear(sent) {
+		return nil
+	}
+	return s.Tick(now)
+}
+
+// SetCold lets no more requests start than the given number per second until the cold start
+// ends. Neither affects what Limit does.
+func (s *Scheduler) SetCold(now time.Time, perSecond float64, until time.Time) []Effect {
+	s.coldUntil = until
+	if perSecond > 0 && now.Before(until) {
+		s.cold.Set(now, perSecond)
+	} else {
+		s.cold = ratelimit.Limiter{}
+	}
+	return s.Tick(now)
+}
+
+// startDelay returns the time until the nth request from now on may start by the limits in
+// force, as Limiter.Delay does.
+func (s *Scheduler) startDelay(now time.Time, n int) time.Duration {
+	if s.cold.Interval() == 0 || !now.Before(s.coldUntil) {
+		return s.limiter.Delay(now, n)
+	}
+	cold := min(s.cold.Delay(now, n), s.coldUntil.Sub(now))
+	if s.limiter.Interval() == 0 {
+		return cold
+	}
+	return max(cold, s.limiter.Delay(now, n))
+}
+
+// startInterval returns the time between two requests at the limits in force; zero if there
+// are none.
+func (s *Scheduler) startInterval(now time.Time) time.Duration {
+	if !now.Before(s.coldUntil) {
+		return s.limiter.Interval()
+	}
+	return max(s.limiter.Interval(), s.cold.Interval())
+}
+
+// nextStart returns the time from which the limits let a request start; the zero time without
+// a limit.
+func (s *Scheduler) nextStart() time.Time {
+	next := s.limiter.Next()
+	cold := s.cold.Next()
+	if cold.After(s.coldUntil) {
+		cold = s.coldUntil
+	}
+	if cold.After(next) {
+		return cold
+	}
+	return next
+}
+
+// refuseBeyondLimit refuses the waiting requests that the limit does not let start in time:
+// another backend server may still answer them.
+func (s *Scheduler) refuseBeyondLimit(now time.Time) []Effect {
+	if s.startInterval(now) == 0 {
+		return nil
+	}
+	slices.SortFunc(s.waiting, func(a, b waitingRequest) int {
+		if s.precedes(now, a.request, b.request) {
+			return -1
+		}
+		return 1
+	})
+	position := 0
+	return s.refuseWaiting(now, func(w waitingRequest) bool {
+		if !s.meetsDeadline(now.Add(s.startDelay(now, position+1)), w.request) {
+			return true
+		}
+		position++
+		return false
+	})
+}
--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -137,3 +137,68 @@
 		}
 	})
 }
+
+// TestScheduler_SetCold_bound guards against a backend server that gets more requests in a
+// second of its cold start than it takes, whatever limit it names besides.
+func TestScheduler_SetCold_bound(t *testing.T) {
+	const window, factor, slack = time.Second, 1.5, 8
+	rapid.Check(t, func(t *rapid.T) {
+		s := open(rapid.IntRange(1, 60).Draw(t, "slots"))
+		rate := rapid.Float64Range(1, 60).Draw(t, "rate")
+		ends := at(time.Duration(rapid.IntRange(500, 4000).Draw(t, "cold")) * time.Millisecond)
+		now := at(0)
+		var starts []time.Time
+		play := func(effects []scheduler.Effect) {
+			for _, e := range effects {
+				if e, ok := e.(scheduler.Start); ok {
+					if now.Before(ends) {
+						starts = append(starts, now)
+					}
+					s.Release(now, e.ID, scheduler.Answered)
+				}
+			}
+		}
+		play(s.SetCold(now, rate, ends))
+		for id := range uint64(400) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "gap")) * time.Millisecond)
+			switch rapid.IntRange(0, 50).Draw(t, "event") {
+			case 0:
+				play(s.Limit(now, rapid.Float64Range(1, 100).Draw(t, "limit")))
+			case 1:
+				play(s.Unlimit(now, now.Add(time.Microsecond)))
+			case 2:
+				play(s.SetCold(now, rate, ends))
+			}
+			r := request(id, order.Level(rapid.IntRange(int(order.Trusted), int(order.Any)).Draw(t, "level")))
+			r.Deadline, r.QueueDeadline = now.Add(4*time.Second), now.Add(2*time.Second)
+			play(s.Acquire(now, r))
+			play(s.Tick(now))
+		}
+		for i, from := range starts {
+			got := 0
+			for _, at := range starts[i:] {
+				if at.Sub(from) < window {
+					got++
+				}
+			}
+			if want := int(factor*rate*window.Seconds()) + slack; got > want {
+				t.Fatalf("got %d requests in %s of a cold start at %g a second, want at most %d", got, window, rate, want)
+			}
+		}
+	})
+}
+
+// TestScheduler_SetCold_end guards against requests that wait, or go elsewhere, although the
+// cold start is over.
+func TestScheduler_SetCold_end(t *testing.T) {
+	s := open(3)
+	s.SetCold(at(0), 0.5, at(300*time.Millisecond))
+	expect(t, "cold", s.Acquire(at(0), request(1, order.Queued)), "wait 1;")
+	if got, want := s.NextTick(), at(300*time.Millisecond); !got.Equal(want) {
+		t.Errorf("got the next tick at %s, want %s", got, want)
+	}
+	expect(t, "at its end", s.Tick(at(300*time.Millisecond)), "start 1;")
+	if got := s.Load(at(310 * time.Millisecond)); got.LimitInterval != 0 || got.LimitDelay > 0 {
+		t.Errorf("got %+v after the cold start, want no limit", got)
+	}
+}
--- a/internal/backend/scheduler/load.go
+++ b/internal/backend/scheduler/load.go
@@ -19,8 +19,8 @@
 	MeanSlotTime       time.Duration // Mean time that a request holds its slot; zero if unknown or out of date.
 	Idle               time.Duration // Time since a request was last started, at most 10 s.
 	TrialDue           bool          // It is suspected and a trial may start now.
-	LimitInterval      time.Duration // Least mean time between two requests by the limit that it names; zero if it names none.
-	LimitDelay         time.Duration // Time until that limit lets a further request start; negative if it could have started before.
+	LimitInterval      time.Duration // Mean time between two requests at its limit; zero if there is none.
+	LimitDelay         time.Duration // Time until its limit lets a further request start; negative if it could have started before.
 }
 
 // Accepts reports whether a backend server with this load would start or queue a
--- a/internal/backend/scheduler/queue.go
+++ b/internal/backend/scheduler/queue.go
@@ -100,29 +100,7 @@
 // starts.
 func (s *Scheduler) expectedWait(now time.Time, position int) time.Duration {
 	forSlot := s.meanSlotTime() * time.Duration(position+1) / time.Duration(max(s.usableSlots(), 1))
-	return max(forSlot, s.limiter.Delay(now, position+1))
-}
-
-// refuseBeyondLimit refuses the waiting requests that the limit does not let start in time:
-// another backend server may still answer them.
-func (s *Scheduler) refuseBeyondLimit(now time.Time) []Effect {
-	if s.limiter.Interval() == 0 {
-		return nil
-	}
-	slices.SortFunc(s.waiting, func(a, b waitingRequest) int {
-		if s.precedes(now, a.request, b.request) {
-			return -1
-		}
-		return 1
-	})
-	position := 0
-	return s.refuseWaiting(now, func(w waitingRequest) bool {
-		if !s.meetsDeadline(now.Add(s.limiter.Delay(now, position+1)), w.request) {
-			return true
-		}
-		position++
-		return false
-	})
+	return max(forSlot, s.startDelay(now, position+1))
 }
 
 // refuseWaiting refuses and removes the waiting requests for which match returns true.
@@ -140,7 +118,7 @@
 
 // fillSlots starts waiting requests in the free slots and appends to effects.
 func (s *Scheduler) fillSlots(now time.Time, effects []Effect) []Effect {
-	for s.open && len(s.waiting) > 0 && len(s.running) < s.slots && s.limiter.Delay(now, 1) <= 0 {
+	for s.open && len(s.waiting) > 0 && len(s.running) < s.slots && s.startDelay(now, 1) <= 0 {
 		first := 0
 		for i := range s.waiting {
 			if s.precedes(now, s.waiting[i].request, s.waiting[first].request) {
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -158,6 +158,8 @@
 	shedder        overload.Shedder
 	calls          callchain.Tracker // Correlates the calls of the backend server.
 	limiter        ratelimit.Limiter // Paces the starts of requests by the limit that the backend server names.
+	cold           ratelimit.Limiter // Paces them during its cold start.
+	coldUntil      time.Time         // End of the cold start.
 }
 
 // Open accepts requests for the given number of slots, at least one, and starts those
@@ -173,21 +175,6 @@
 	return s.refuseWaiting(now, func(waitingRequest) bool { return true })
 }
 
-// Limit lets no more requests start than the given number per second, until Unlimit ends
-// the limit.
-func (s *Scheduler) Limit(now time.Time, perSecond float64) []Effect {
-	s.limiter.Set(now, perSecond)
-	return s.Tick(now)
-}
-
-// Unlimit ends the limit after a response without one to a request sent at the given time.
-func (s *Scheduler) Unlimit(now, sent time.Time) []Effect {
-	if !s.limiter.Clear(sent) {
-		return nil
-	}
-	return s.Tick(now)
-}
-
 // Reset discards what was learned about the backend server when another incarnation
 // replaces it. Few requests start until Limit or Unlimit is called.
 func (s *Scheduler) Reset(now time.Time) {
@@ -195,6 +182,7 @@
 	s.slotTime = 0
 	s.routeMeans = nil
 	s.limiter.Assume(now)
+	s.cold, s.coldUntil = ratelimit.Limiter{}, time.Time{}
 }
 
 // Load returns the load to report to other nodes.
@@ -202,7 +190,7 @@
 	l := Load{
 		Running: len(s.running), Waiting: len(s.waiting), Slots: s.slots,
 		FailureProbability: s.failureProbability(now), Serving: s.open, Idle: min(max(now.Sub(s.lastStart), 0), maxIdle),
-		LimitInterval: s.limiter.Interval(), LimitDelay: s.limiter.Delay(now, len(s.waiting)+1),
+		LimitInterval: s.startInterval(now), LimitDelay: s.startDelay(now, len(s.waiting)+1),
 	}
 	l.TrialDue = l.FailureProbability >= trialThreshold && l.Running < l.Slots && l.LimitDelay <= 0 && s.trialDue(now)
 	if now.Sub(s.lastResponse) < slotTimeMaxAge {
@@ -243,7 +231,7 @@
 func (s *Scheduler) admit(now time.Time, t Request) []Effect {
 	suspect := s.failureProbability(now)
 	free := s.slots - len(s.running)
-	if s.limiter.Delay(now, 1) > 0 {
+	if s.startDelay(now, 1) > 0 {
 		free = 0
 	}
 	switch {
@@ -329,6 +317,7 @@
 	}
 	s.lastStart = now
 	s.limiter.Take(now)
+	s.cold.Take(now)
 	s.running[t.ID] = &runningRequest{request: t, started: now, activeAtStart: s.advanceActiveTime(now), trial: trial}
 	if trial {
 		s.nextTrial = now.Add(min(initialTrialInterval<<min(s.failedTrials, 8), maxTrialInterval))
@@ -445,7 +434,7 @@
 			}
 		}
 	}
-	if next := s.limiter.Next(); len(s.waiting) > 0 && len(s.running) < s.slots && !next.IsZero() {
+	if next := s.nextStart(); len(s.waiting) > 0 && len(s.running) < s.slots && !next.IsZero() {
 		sooner(next)
 	}
 	for _, w := range s.waiting {
--- a/internal/config/check/check.go
+++ b/internal/config/check/check.go
@@ -190,6 +190,9 @@
 	if o.Probe.Path != "" && !isProbePath(o.Probe.Path) {
 		c.add("Probe.Path", "is not a path of at most %d printable characters that begins with /", MaxTextSize)
 	}
+	if o.ColdRate < 0 || math.IsNaN(o.ColdRate) || math.IsInf(o.ColdRate, 0) {
+		c.add("ColdRate", "is not a number of requests from 0")
+	}
 	if len(o.Probe.Contains) > MaxTextSize || !utf8.ValidString(o.Probe.Contains) {
 		c.add("Probe.Contains", "is not a text of at most %d bytes", MaxTextSize)
 	}
--- a/internal/config/set/set.go
+++ b/internal/config/set/set.go
@@ -78,6 +78,7 @@
 	Threshold float64       `json:",omitempty"` // Evidence required for an ejection; zero means the default of the health package.
 	QueueWait time.Duration `json:",omitempty"` // Maximum wait for a free slot; zero means DefaultQueueWait.
 	Probe     Probe         `json:",omitzero"`
+	ColdRate  float64       `json:",omitempty"` // Requests per second that a backend server takes during its cold start; zero means no limit.
 }
 
 // Probe is the health check of a pool: a GET request with a known response, sent to
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -45,6 +45,10 @@
 	// configuration waits for one, as long as that may take.
 	HealthPath func(service string) string
 
+	// ColdRate returns the requests per second that a backend server of the service takes
+	// during its cold start; zero if there is no limit.
+	ColdRate func(service string) float64
+
 	// OnServingChange is called after the backend server came into or went out of
 	// service.
 	OnServingChange func()
@@ -74,6 +78,7 @@
 	ex.mu.Lock()
 	effect := ex.tracker.Heartbeat(a)
 	ex.apply(effect)
+	ex.setCold(effect)
 	ex.mu.Unlock()
 	ex.notify(effect)
 }
@@ -120,6 +125,20 @@
 	}
 }
 
+// setCold paces requests during the cold start that a heartbeat announces. ex.mu must be held.
+func (ex *Executor) setCold(effect incarnation.Effect) {
+	var a incarnation.Announcement
+	switch e := effect.(type) {
+	case incarnation.Discovered:
+		a = e.Announcement
+	case incarnation.Updated:
+		a = e.Announcement
+	default:
+		return
+	}
+	ex.deliver(ex.scheduler.SetCold(a.ReceivedAt, ex.ColdRate(a.Service), a.ReceivedAt.Add(a.ColdStart)))
+}
+
 func (ex *Executor) resetClient() {
 	if ex.client != nil {
 		ex.client.Close()
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -79,6 +79,7 @@
 	return &executor.Executor{
 		Address: address, Dialect: fakeDialect{}, HealthPath: func(string) string { return "/healthz" }, Log: zerolog.New(l),
 		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, OnServingChange: func() {},
+		ColdRate: func(string) float64 { return 10 },
 	}
 }
 
@@ -86,7 +87,7 @@
 func startServing(t *testing.T, h *executor.Executor) {
 	t.Helper()
 	address := h.Address
-	h.Heartbeat(incarnation.Announcement{InstanceID: "i-1", StartedAt: time.Now(), Sequence: 1, Service: "s", Address: address, Slots: 3})
+	h.Heartbeat(incarnation.Announcement{InstanceID: "i-1", StartedAt: time.UnixMilli(1), Sequence: 1, Service: "s", Address: address, Slots: 3})
 	for deadline := time.Now().Add(5 * time.Second); h.Service() == ""; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("got no backend server in service after 5 s, want one")
@@ -250,3 +251,32 @@
 		t.Errorf("got %+v of the new incarnation, want it in service without a limit", got)
 	}
 }
+
+// TestExecutor_Heartbeat_cold guards against a backend server in its cold start that gets
+// requests as fast as another one.
+func TestExecutor_Heartbeat_cold(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-ID", r.Header.Get("Request-ID"))
+	}))
+	defer server.Close()
+	var l logBuffer
+	h := newExecutor(netip.MustParseAddrPort(server.Listener.Addr().(*net.TCPAddr).String()), &l)
+	startServing(t, h)
+	tests := []struct {
+		desc     string
+		sequence int64
+		cold     time.Duration
+		want     time.Duration
+	}{
+		{"cold", 2, time.Minute, 100 * time.Millisecond},
+		{"warm again", 3, 0, 0},
+	}
+	for _, tt := range tests {
+		h.Heartbeat(incarnation.Announcement{
+			InstanceID: "i-1", StartedAt: time.UnixMilli(1), Sequence: tt.sequence, Service: "s", Address: h.Address, Slots: 3, ColdStart: tt.cold,
+		})
+		if got := h.Load(time.Now()).LimitInterval; got != tt.want {
+			t.Errorf("%s: got %s between two requests, want %s", tt.desc, got, tt.want)
+		}
+	}
+}
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/set"
+	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/fleet/nodetable"
 	"filbertturn.example/filbertturn/internal/node/configsync"
 	"filbertturn.example/filbertturn/internal/node/discovery"
@@ -133,7 +135,7 @@
 	c := &Sidecar{settings: s, adapter: adapter, log: log, metrics: metrics.New(), serveErrors: make(chan error, 1)}
 	c.mesh = link.New(nil, nil, c)
 	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, Self: s.PeerAddress}
-	c.executor = &executor.Executor{Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, Stamp: c.syncer.Stamp, Log: log}
+	c.executor = &executor.Executor{Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, ColdRate: c.coldRate, Stamp: c.syncer.Stamp, Log: log}
 	c.discovery = &discovery.Discovery{
 		Self: nodetable.Record{
 			Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Service: s.Service, Incarnation: uint64(now.UnixNano()),
@@ -198,16 +200,30 @@
 // healthPath returns the path of health checks of a service. Before the first configuration it
 // waits for one.
 func (c *Sidecar) healthPath(service string) string {
-	if s := c.syncer.Await(context.Background(), configurationTimeout); s != nil {
-		for _, p := range s.Set().Pools {
-			if p.Service == service && p.Probe.Path != "" {
-				return p.Probe.Path
-			}
-		}
+	if p := pool(c.syncer.Await(context.Background(), configurationTimeout), service); p.Probe.Path != "" {
+		return p.Probe.Path
 	}
 	return set.DefaultProbePath
 }
 
+// coldRate returns the requests per second that a backend server of a service takes during
+// its cold start; zero if there is no limit, or no configuration yet.
+func (c *Sidecar) coldRate(service string) float64 {
+	return pool(c.syncer.Snapshot(), service).ColdRate
+}
+
+// pool returns the pool of a service, or the zero value if s, which may be nil, has none.
+func pool(s *snapshot.Snapshot, service string) set.Pool {
+	if s == nil {
+		return set.Pool{}
+	}
+	pools := s.Set().Pools
+	if i := slices.IndexFunc(pools, func(p set.Pool) bool { return p.Service == service }); i >= 0 {
+		return pools[i]
+	}
+	return set.Pool{}
+}
+
 // Ready reports whether callers may send requests: the node has a configuration and has
 // joined the fleet, and is not stopping.
 func (c *Sidecar) Ready() bool {
