Tell in refusals when the limit of a backend server lets a request start

The reason of a refused request showed free slots, '0+4 of 3 slots', and not the limit that held them.

--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -19,6 +19,18 @@
 	return s
 }
 
+// mostIn returns the greatest number of times, which are in order, in a window.
+func mostIn(window time.Duration, times []time.Time) int {
+	most, first := 0, 0
+	for last, at := range times {
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
 // TestScheduler_Acquire_limit plays requests to a backend server that names a limit of 2 a
 // second, while it has free slots.
 func TestScheduler_Acquire_limit(t *testing.T) {
@@ -124,16 +136,8 @@
 			play(s.Limit(now, rate))
 			play(s.Tick(now))
 		}
-		for i, from := range starts {
-			got := 0
-			for _, at := range starts[i:] {
-				if at.Sub(from) < window {
-					got++
-				}
-			}
-			if want := int(factor*rate*window.Seconds()) + slack; got > want {
-				t.Fatalf("got %d requests in %s at a limit of %g a second, want at most %d", got, window, rate, want)
-			}
+		if got, want := mostIn(window, starts), int(factor*rate*window.Seconds())+slack; got > want {
+			t.Fatalf("got %d requests in %s at a limit of %g a second, want at most %d", got, window, rate, want)
 		}
 	})
 }
@@ -174,16 +178,8 @@
 			play(s.Acquire(now, r))
 			play(s.Tick(now))
 		}
-		for i, from := range starts {
-			got := 0
-			for _, at := range starts[i:] {
-				if at.Sub(from) < window {
-					got++
-				}
-			}
-			if want := int(factor*rate*window.Seconds()) + slack; got > want {
-				t.Fatalf("got %d requests in %s of a cold start at %g a second, want at most %d", got, window, rate, want)
-			}
+		if got, want := mostIn(window, starts), int(factor*rate*window.Seconds())+slack; got > want {
+			t.Fatalf("got %d requests in %s of a cold start at %g a second, want at most %d", got, window, rate, want)
 		}
 	})
 }
--- a/internal/node/dispatcher/refusals.go
+++ b/internal/node/dispatcher/refusals.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/failure"
@@ -23,6 +24,9 @@
 	if l := reply.Load; l != nil {
 		r.serving = r.serving || l.Serving
 		line += fmt.Sprintf(", serving %t, %d+%d of %d slots, failing %.2f", l.Serving, l.Running, l.Waiting, l.Slots, l.FailureProbability)
+		if l.LimitInterval > 0 {
+			line += fmt.Sprintf(", next start by its limit in %s", l.LimitDelay.Round(time.Millisecond))
+		}
 	}
 	r.lines = append(r.lines, line)
 }
