Log crashes of backend servers with fingerprints of what ran

Callers see 502 and 503 while a request crashes server after server. The logs had no identity of requests that come again, so that one bad request could not be told from backend servers that crash under load.

A keyed digest of method, host, target, customer and body is computed for each request, at the entry for short bodies and at the owner while a longer one passes. When a connection is lost before a response, the owner opens another one: if it is refused, the backend server has crashed, and one line names all that ran. No decision depends on it yet.

--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -144,6 +144,17 @@
 	return n, nil
 }
 
+// Probe reports whether the backend server accepts connections: it opens one, which the next
+// request uses.
+func (c *Client) Probe(ctx context.Context) error {
+	n, err := c.dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.release(n, true)
+	return nil
+}
+
 // release keeps n as an idle connection if it is reusable, and otherwise closes it.
 func (c *Client) release(n *conn, reusable bool) {
 	n.lastUsed = time.Now()
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -39,6 +39,7 @@
 	started       time.Time
 	failingBefore float64              // Failure probability of the backend server at the start.
 	limit         dialect.RequestLimit // Limit that the backend server named last before the start.
+	body          *identifiedBody      // Nil if the fingerprint was known before the start.
 	releaseOnce   sync.Once
 }
 
@@ -52,10 +53,15 @@
 		return nil, failure.New(kind.NoCapacity, "the backend server has left", nil)
 	}
 	now := time.Now()
-	return &execution{
+	x := &execution{
 		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: ex.scheduler.Load(now).FailureProbability,
 		limit: ex.limit,
-	}, nil
+	}
+	if ex.running == nil {
+		ex.running = make(map[uint64]*execution)
+	}
+	ex.running[id] = x
+	return x, nil
 }
 
 func (x *execution) run(ctx context.Context, body io.Reader) (*exchange.Response, error) {
@@ -75,6 +81,8 @@
 	})
 	if err == nil {
 		response, err = x.bufferResponse(response)
+	} else if isDisconnect(err) {
+		x.executor.checkCrash(x)
 	}
 	if err != nil {
 		f := failure.From(err)
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -19,6 +19,7 @@
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
 
@@ -49,6 +50,9 @@
 	// during its cold start; zero if there is no limit.
 	ColdRate func(service string) float64
 
+	// Fingerprints keys the fingerprints of requests whose body is read while they run.
+	Fingerprints fingerprint.Key
+
 	// OnServingChange is called after the backend server came into or went out of
 	// service.
 	OnServingChange func()
@@ -60,6 +64,8 @@
 	limit     dialect.RequestLimit             // As the current incarnation named it last.
 	malformed string                           // Latest log text about a header field that cannot be read.
 	waiters   map[uint64]chan scheduler.Effect // Requests that wait for a slot, by identifier.
+	running   map[uint64]*execution            // Requests that hold a slot, by identifier.
+	check     *crashCheck                      // The latest one; nil if there was none.
 	timer     *time.Timer
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
 	lastID    uint64    // Identifier of the latest request.
@@ -235,7 +241,7 @@
 		ex.release(id, scheduler.Cancelled)
 		return nil, err
 	}
-	return x.run(ctx, reader)
+	return x.run(ctx, x.identify(reader))
 }
 
 // requestSlot asks for a slot. It returns the identifier of the request and the channel
@@ -345,6 +351,7 @@
 	defer ex.mu.Unlock()
 	ex.inFlight--
 	delete(ex.waiters, id)
+	delete(ex.running, id)
 	ex.deliver(ex.scheduler.Release(time.Now(), id, o))
 }
 
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -28,6 +28,7 @@
 	"filbertturn.example/filbertturn/internal/request/call"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 	"filbertturn.example/filbertturn/internal/request/header"
 	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/order"
@@ -88,7 +89,8 @@
 	Limiter   Limiter
 	Forwarder Forwarder
 	Recorder  Recorder
-	Closing   func() bool // Reports whether callers must open new connections to other nodes.
+	Key       fingerprint.Key // Keys the fingerprints of requests.
+	Closing   func() bool     // Reports whether callers must open new connections to other nodes.
 	Log       zerolog.Logger
 
 	// Configuration returns the configuration, or nil if there is none and none arrives
@@ -150,7 +152,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	i.buildRequest(rs)
-	if err := rs.bufferBody(); err != nil {
+	o := &rs.request.Order
+	digest := i.Key.Start(o.Method, o.Host, o.Target, o.Customer)
+	if err := rs.bufferBody(digest); err != nil {
 		return nil, cancel, err
 	}
 	if rs.request.Order.Nested {
@@ -278,9 +282,14 @@
 }
 
 // bufferBody reads a short body to its end before the request waits for a slot, because
-// net/http notices that a caller has disconnected only once the body was read.
-func (rs *requestState) bufferBody() error {
-	if n := rs.httpRequest.ContentLength; n <= 0 || n > maxBufferedBody {
+// net/http notices that a caller has disconnected only once the body was read. It sets the
+// request's fingerprint, unless the body is long or of unknown length.
+func (rs *requestState) bufferBody(digest *fingerprint.Digest) error {
+	switch n := rs.httpRequest.ContentLength; {
+	case n == 0:
+		rs.request.Order.Fingerprint = digest.Sum()
+		return nil
+	case n < 0 || n > maxBufferedBody:
 		return nil
 	}
 	// Fails for writers without deadlines; those of http.Server have them.
@@ -294,6 +303,8 @@
 	}
 	_ = rs.controller.SetReadDeadline(time.Time{})
 	rs.request.Body = replay.New(io.NopCloser(bytes.NewReader(b)))
+	_, _ = digest.Write(b)
+	rs.request.Order.Fingerprint = digest.Sum()
 	return nil
 }
 
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -40,6 +40,7 @@
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 	"filbertturn.example/filbertturn/internal/request/retrylimit"
 	"filbertturn.example/filbertturn/internal/route/ranking"
 )
@@ -86,6 +87,7 @@
 	RetryRatio        float64       // Retries per request of a service, over all nodes.
 	RetryReserve      float64       // Retries of a service in a window beyond the ratio, over all nodes.
 	RetryWindow       time.Duration
+	Fleet             string  // What all nodes of the fleet share, and no other has.
 	Cores             float64 // CPU cores that the VM may use; zero if unknown.
 	LinkBandwidth     float64 // Bandwidth of the VM's link, in Mbit/s; zero if unknown.
 }
@@ -135,7 +137,10 @@
 	c := &Sidecar{settings: s, adapter: adapter, log: log, metrics: metrics.New(), serveErrors: make(chan error, 1)}
 	c.mesh = link.New(nil, nil, c)
 	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, Self: s.PeerAddress}
-	c.executor = &executor.Executor{Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, ColdRate: c.coldRate, Stamp: c.syncer.Stamp, Log: log}
+	c.executor = &executor.Executor{
+		Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, ColdRate: c.coldRate, Stamp: c.syncer.Stamp, Log: log,
+		Fingerprints: fingerprint.NewKey(s.Fleet),
+	}
 	c.discovery = &discovery.Discovery{
 		Self: nodetable.Record{
 			Name: s.Name, Address: s.PeerAddress, DataCentre: s.DataCentre, Service: s.Service, Incarnation: uint64(now.UnixNano()),
@@ -311,6 +316,7 @@
 	callers := &ingress.Ingress{
 		Service: c.settings.Service, Dialect: c.adapter.Dialect, Configuration: c.syncer.Await, Limiter: c.quotaEnforcer,
 		Forwarder: c.dispatcher, Recorder: c, Closing: c.closing.Load, Log: c.log, StartCall: c.executor.StartCall,
+		Key: fingerprint.NewKey(c.settings.Fleet),
 	}
 	c.registerGauges()
 	for _, l := range []struct {
--- a/internal/peer/transport/executor.go
+++ b/internal/peer/transport/executor.go
@@ -11,6 +11,7 @@
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
@@ -97,6 +98,7 @@
 		Idempotent:    head.GetIdempotent(),
 		Retry:         head.GetRepeat(),
 		Level:         order.Level(head.GetLevel()),
+		Fingerprint:   fingerprint.FromBytes(head.GetFingerprint()),
 	}
 }
 
--- a/internal/peer/transport/offer.go
+++ b/internal/peer/transport/offer.go
@@ -286,6 +286,7 @@
 		ObjectiveNanos: int64(o.Objective),
 		DueNanos:       int64(time.Until(o.Due)),
 		PatienceNanos:  int64(time.Until(o.QueueDeadline)),
+		Fingerprint:    o.Fingerprint[:],
 	}
 }
 
--- a/internal/request/order/order.go
+++ b/internal/request/order/order.go
@@ -4,6 +4,8 @@
 import (
 	"net/http"
 	"time"
+
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 )
 
 // Level says which backend servers an offer accepts and whether it may be queued.
@@ -43,4 +45,8 @@
 	Idempotent    bool
 	Retry         bool // A retry or hedge: another backend server may have received it before.
 	Level         Level
+
+	// Fingerprint identifies the request if it comes again. It is zero while the body has
+	// not been read to its end.
+	Fingerprint fingerprint.Fingerprint
 }
