Quarantine requests that crash backend servers

Cause: a run that ends because the backend server crashed was blamed on the backend server alone, at one node, and forgotten with its incarnation. No node kept anything of the request, so every entry sent each copy to the next one, and the fleet's own second attempts did so within 100 ms.

Change: each crash is blamed on all requests that ran (health/blame). One crash makes them suspects: they run again only one at a time in the whole fleet, by leave of their home (health/trial), not beside another suspect, not hedged, and not while fewer than two backend servers are in service. A good end clears them. A request that was in two crashes of different backend servers, alone of all that ran and with no crash of the service beside it, or in three, is refused at once at entries and owners; copies that wait or run are stopped. The node beside the crashed backend server tells the homes before it answers, and super-peers pass the events on; gossip repairs what was lost (node/quarantine). Nothing depends on the store.

--- a/internal/node/dispatcher/dispatcher.go
+++ b/internal/node/dispatcher/dispatcher.go
@@ -20,8 +20,10 @@
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/freshness"
+	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/order"
 	"filbertturn.example/filbertturn/internal/request/replay"
@@ -38,6 +40,16 @@
 	Allow(ctx context.Context, service string) bool
 }
 
+// Quarantine decides which requests may crash backend servers.
+type Quarantine interface {
+	// Verdict returns what is held of a request.
+	Verdict(f fingerprint.Fingerprint) blame.Verdict
+	// Admit decides whether an attempt may be made, and sets o.Trial if it is a trial. suspected says that
+	// an earlier attempt crashed a backend server, or that a node suspects the request. The error is a
+	// *failure.Failure; if it is nil, end must be called when the attempt has ended.
+	Admit(ctx context.Context, o *order.Order, suspected bool) (end func(), err error)
+}
+
 // Dispatcher forwards requests to backend servers. Its methods may be called by several
 // goroutines at once.
 type Dispatcher struct {
@@ -46,6 +58,7 @@
 	Local       transport.Executor // Runs requests on the backend server beside this node.
 	Transport   *transport.Client
 	RetryBudget RetryBudget
+	Quarantine  Quarantine // Nil if all requests are clear.
 	Log         zerolog.Logger
 
 	// OnConfigStamp is called with the version and age of another node's configuration, as
@@ -88,6 +101,25 @@
 	d.ranking.UpdateLoad(now, a, l)
 }
 
+// InService returns the number of backend servers of a service that are in service, as far as
+// is known.
+func (d *Dispatcher) InService(service string) int {
+	now := time.Now()
+	local := d.Local.Load(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranking.UpdateLoad(now, d.Self, local)
+	return d.ranking.InService(now, service)
+}
+
+// verdict returns what is held of a request.
+func (d *Dispatcher) verdict(f fingerprint.Fingerprint) blame.Verdict {
+	if d.Quarantine == nil {
+		return blame.Clear
+	}
+	return d.Quarantine.Verdict(f)
+}
+
 // RemoveNode removes a node.
 func (d *Dispatcher) RemoveNode(a netip.AddrPort) {
 	d.mu.Lock()
@@ -183,7 +215,7 @@
 	case kind.LostPeer:
 		d.ranking.RecordUnreachable(now, to)
 		d.ranking.RecordFailure(now, to)
-	case kind.NoCapacity, kind.Overloaded, kind.CancelledByCaller, kind.DeadlineBeforeRun:
+	case kind.NoCapacity, kind.Overloaded, kind.CancelledByCaller, kind.DeadlineBeforeRun, kind.Suspected, kind.Quarantined, kind.QuarantinedDuringRun:
 	default:
 		d.ranking.RecordFailure(now, to)
 	}
--- a/internal/node/dispatcher/sender.go
+++ b/internal/node/dispatcher/sender.go
@@ -15,6 +15,7 @@
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/clock/timer"
+	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -97,19 +98,50 @@
 func (s *sender) run() (*exchange.Response, error) {
 	var last outcome
 	for {
-		last = last.merge(s.attempt())
+		end, err := s.admit(last)
+		if err != nil {
+			return s.finish(last.merge(outcome{err: failure.From(err)}))
+		}
+		next := s.attempt()
+		end()
+		last = last.merge(next)
 		if !s.shouldRetry(last) {
 			return s.finish(last)
 		}
 	}
 }
 
+// admit decides whether an attempt may be made after the outcome of the earlier ones.
+func (s *sender) admit(last outcome) (end func(), err error) {
+	if s.dispatcher.Quarantine == nil {
+		return func() {}, nil
+	}
+	suspected := last.err != nil && (last.err.Kind == kind.CrashedBackendServer || last.err.Kind == kind.Suspected)
+	return s.dispatcher.Quarantine.Admit(s.ctx, &s.request.Order, suspected)
+}
+
+// screen returns the failure with which the attempt ends if the request became suspected or quarantined
+// since it was admitted, or nil.
+func (s *sender) screen() error {
+	o := &s.request.Order
+	switch s.dispatcher.verdict(o.Fingerprint) {
+	case blame.Quarantined:
+		return failure.New(kind.Quarantined, "", nil)
+	case blame.Suspected:
+		if !o.Trial {
+			return failure.New(kind.Suspected, "", nil)
+		}
+	case blame.Clear:
+	}
+	return nil
+}
+
 // finish returns the response, whose body cancels the attempt when it is closed, or the
 // failure, with a retry delay if the request has not run.
 func (s *sender) finish(o outcome) (*exchange.Response, error) {
 	if o.err != nil {
 		o.release()
-		if o.err.Kind.NotRun() {
+		if o.err.Kind.NotRun() && o.err.Kind.Response().Retryable {
 			o.err.RetryAfter = s.retryAfter(o.err)
 		}
 		return nil, o.err
@@ -145,6 +177,12 @@
 		switch o.err.Kind {
 		case kind.ShedByBackendServer, kind.OtherIncarnation, kind.UnreachableBackendServer:
 			retryable = true
+		case kind.Suspected:
+			// Offered without a trial, since the suspicion was not known here.
+			return !s.request.Order.Trial
+		case kind.CrashedBackendServer:
+			// Without a fingerprint it cannot be told whether the request may run again.
+			retryable = s.request.Order.Idempotent && !s.request.Order.Fingerprint.IsZero() && s.dispatcher.verdict(s.request.Order.Fingerprint) != blame.Quarantined
 		case kind.BrokenAnswer, kind.ForeignAnswer, kind.LostPeer:
 			retryable = s.request.Order.Idempotent
 		default:
@@ -185,7 +223,7 @@
 func (s *sender) attempt() outcome {
 	first := s.startAttempt()
 	o := &s.request.Order
-	if !o.Idempotent || s.request.Body != nil || s.attemptCount() >= s.request.Attempts-1 {
+	if !o.Idempotent || s.request.Body != nil || o.Trial || s.attemptCount() >= s.request.Attempts-1 {
 		return <-first
 	}
 	ticker := time.NewTicker(time.Duration(hedgeFraction * float64(o.Objective)))
@@ -197,7 +235,7 @@
 		case end := <-first:
 			return end
 		case <-ticker.C:
-			waiting = s.attemptCount() == 0 || !s.dispatcher.RetryBudget.Allow(s.ctx, o.Service)
+			waiting = s.attemptCount() == 0 || s.dispatcher.verdict(o.Fingerprint) != blame.Clear || !s.dispatcher.RetryBudget.Allow(s.ctx, o.Service)
 		}
 	}
 	s.logRetry("hedge", outcome{}, true)
@@ -308,6 +346,9 @@
 			if ctx.Err() != nil {
 				return nil, failure.FromContext(ctx, false)
 			}
+			if err := s.screen(); err != nil {
+				return nil, err
+			}
 			contacted := s.contactedNodes()
 			to, ok := s.dispatcher.pick(&s.request.Order, st, len(contacted) > 0, append(contacted, asked[st.level]...))
 			if !ok {
--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -11,7 +11,12 @@
 	"github.com/rs/zerolog"
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
+	"filbertturn.example/filbertturn/internal/backend/scheduler"
+	"filbertturn.example/filbertturn/internal/health/blame"
+	"filbertturn.example/filbertturn/internal/peer/transport"
+	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/fingerprint"
+	"filbertturn.example/filbertturn/internal/request/order"
 )
 
 const (
@@ -19,6 +24,13 @@
 	// backend server is on the same VM, where a process that is gone refuses it at once.
 	crashProbeTimeout = 100 * time.Millisecond
 
+	// crashReportTimeout bounds the report of a crash, for which the callers of all requests
+	// wait that ran.
+	crashReportTimeout = 300 * time.Millisecond
+
+	// maxFinishedBody bounds the rest of a body, in bytes, that is read after a crash.
+	maxFinishedBody = 16 << 20
+
 	// crashCheckTTL is the time for which a check that found no crash holds for other
 	// requests that lose their connection.
 	crashCheckTTL = 50 * time.Millisecond
@@ -63,13 +75,120 @@
 	_, serving := ex.tracker.Serving()
 	c.crashed = refused && serving && ex.client == x.client
 	ex.mu.Unlock()
-	close(c.done)
 	if c.crashed {
-		ex.logCrash(x, suspects)
+		ex.reportCrash(x, suspects)
 	}
+	close(c.done)
 	return c.crashed
 }
 
+// reportCrash blames a crash on the requests that ran. It returns once the nodes know that
+// let them run again.
+func (ex *Executor) reportCrash(x *execution, suspects []*execution) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	finishBodies(ctx, suspects)
+	ex.logCrash(x, suspects)
+	if ex.Quarantine == nil {
+		return
+	}
+	requests := make([]blame.Request, 0, len(suspects))
+	for _, s := range suspects {
+		f, length := s.fingerprint()
+		r := blame.Request{Fingerprint: f, BodyBytes: length}
+		if length > 0 {
+			o := s.order
+			r.Head = ex.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer).Sum()
+		}
+		requests = append(requests, r)
+	}
+	ex.Quarantine.ReportCrash(ctx, x.order.Service, ex.Address, requests)
+}
+
+// finishBodies reads bodies to their ends that were under way when the backend server crashed, so
+// that the requests can be recognised, until ctx ends.
+func finishBodies(ctx context.Context, list []*execution) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wg sync.WaitGroup
+		for _, x := range list {
+			if x.body != nil {
+				wg.Go(func() { _, _ = io.CopyN(io.Discard, x.body, maxFinishedBody) })
+			}
+		}
+		wg.Wait()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// verdict returns what is held of a request.
+func (ex *Executor) verdict(f fingerprint.Fingerprint) blame.Verdict {
+	if ex.Quarantine == nil || f.IsZero() {
+		return blame.Clear
+	}
+	return ex.Quarantine.Verdict(f)
+}
+
+// screen refuses a request that is quarantined, or that is suspected and was sent without a
+// trial.
+func (ex *Executor) screen(o *order.Order) (transport.Verdict, bool) {
+	v := transport.Verdict{Load: ex.Load(time.Now()), Stamp: ex.Stamp(time.Now())}
+	switch ex.verdict(o.Fingerprint) {
+	case blame.Quarantined:
+		v.Decision = transport.Quarantined
+	case blame.Suspected:
+		v.Decision = transport.Suspected
+		if o.Trial {
+			return v, false
+		}
+	case blame.Clear:
+		return v, false
+	}
+	ex.Log.Info().Str("RequestID", o.ID).Stringer("Fingerprint", o.Fingerprint).Stringer("Kind", failure.From(v.Failure()).Kind).
+		Msg("request refused by the node beside the backend server: it may crash it")
+	return v, true
+}
+
+// runsTrial reports whether a suspected request runs or waits, so that a crash tells which
+// of two is guilty. ex.mu must be held.
+func (ex *Executor) runsTrial() bool {
+	for _, o := range ex.orders {
+		if o.Trial {
+			return true
+		}
+	}
+	return false
+}
+
+// StopRequests refuses copies of a quarantined request that wait, and ends those that run.
+func (ex *Executor) StopRequests(f fingerprint.Fingerprint) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for id, o := range ex.orders {
+		if o.Fingerprint != f {
+			continue
+		}
+		if x := ex.running[id]; x != nil && x.stop != nil {
+			x.stop(errQuarantined)
+			continue
+		}
+		ex.deliverDecision(id, scheduler.Refuse{ID: id})
+	}
+}
+
+// stoppable returns the context of the run, which StopRequests ends.
+func (x *execution) stoppable(ctx context.Context) context.Context {
+	ctx, stop := context.WithCancelCause(ctx)
+	x.executor.mu.Lock()
+	defer x.executor.mu.Unlock()
+	x.stop = stop
+	return ctx
+}
+
 // runningWith returns the requests that hold a slot and use the client. ex.mu must be held.
 func (ex *Executor) runningWith(client *exchange.Client) []*execution {
 	var list []*execution
@@ -117,7 +236,8 @@
 
 // identifiedBody computes the fingerprint of a request while its body is read.
 type identifiedBody struct {
-	source io.Reader
+	reading sync.Mutex // Held during a read, so that parts are not mixed up.
+	source  io.Reader
 
 	mu     sync.Mutex // Guards the fields below: a crash is examined while the body is read.
 	digest *fingerprint.Digest
@@ -126,6 +246,8 @@
 
 // Read implements io.Reader.
 func (b *identifiedBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
 	n, err := b.source.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -14,6 +14,7 @@
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
+	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -29,6 +30,9 @@
 // only covers processing time.
 const expiryMargin = 50 * time.Millisecond
 
+// errQuarantined is the cause with which a run ends whose request is quarantined.
+var errQuarantined = errors.New("request is quarantined")
+
 // execution is one request that holds a slot.
 type execution struct {
 	executor      *Executor
@@ -37,9 +41,10 @@
 	client        *exchange.Client
 	instance      string
 	started       time.Time
-	failingBefore float64              // Failure probability of the backend server at the start.
-	limit         dialect.RequestLimit // Limit that the backend server named last before the start.
-	body          *identifiedBody      // Nil if the fingerprint was known before the start.
+	failingBefore float64                 // Failure probability of the backend server at the start.
+	limit         dialect.RequestLimit    // Limit that the backend server named last before the start.
+	body          *identifiedBody         // Nil if the fingerprint was known before the start.
+	stop          context.CancelCauseFunc // Ends the run.
 	releaseOnce   sync.Once
 }
 
@@ -52,6 +57,9 @@
 	if !serving || ex.client == nil {
 		return nil, failure.New(kind.NoCapacity, "the backend server has left", nil)
 	}
+	if ex.verdict(o.Fingerprint) == blame.Quarantined {
+		return nil, failure.New(kind.Quarantined, "", nil)
+	}
 	now := time.Now()
 	x := &execution{
 		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: ex.scheduler.Load(now).FailureProbability,
@@ -74,6 +82,7 @@
 		ID: x.order.ID, InstanceID: x.instance, Customer: x.order.Customer,
 		CallerService: x.order.CallerService, Remaining: remaining,
 	})
+	crashed := false
 	response, err := x.client.Do(ctx, &exchange.Request{
 		Method: x.order.Method, Target: x.order.Target, Host: x.order.Host, Header: x.order.Header,
 		Body: body, ContentLength: x.order.ContentLength, ID: x.order.ID,
@@ -82,16 +91,22 @@
 	if err == nil {
 		response, err = x.bufferResponse(response)
 	} else if isDisconnect(err) {
-		x.executor.checkCrash(x)
+		crashed = x.executor.checkCrash(x)
 	}
 	if err != nil {
 		f := failure.From(err)
+		switch {
+		case crashed:
+			f = failure.New(kind.CrashedBackendServer, "", f.Err)
+		case errors.Is(context.Cause(ctx), errQuarantined):
+			f = failure.New(kind.QuarantinedDuringRun, "", f.Err)
+		}
 		x.release(outcomeOf(f))
 		x.logEvent().Str("Kind", f.Kind.String()).Dur("Remaining", remaining).Err(f.Err).Msg("run failed")
 		switch f.Kind {
 		case kind.OtherIncarnation:
 			x.executor.evict(x.instance)
-		case kind.UnreachableBackendServer:
+		case kind.UnreachableBackendServer, kind.CrashedBackendServer:
 			x.executor.suspend(x.instance, f)
 		default:
 		}
@@ -138,6 +153,10 @@
 // complete ends a request whose response was read to its end. An error status is logged
 // here, with the incarnation that answered, as the caller's node does not know it.
 func (x *execution) complete(status int) {
+	if q := x.executor.Quarantine; q != nil {
+		f, _ := x.fingerprint()
+		q.ReportGoodEnd(f)
+	}
 	if status < http.StatusInternalServerError {
 		x.release(scheduler.Answered)
 		return
@@ -167,7 +186,10 @@
 }
 
 func (x *execution) release(o scheduler.Outcome) {
-	x.releaseOnce.Do(func() { x.executor.release(x.id, o) })
+	x.releaseOnce.Do(func() {
+		x.executor.release(x.id, o)
+		x.stop(nil)
+	})
 }
 
 // streamedBody releases the slot when the response's body ends or is closed.
@@ -198,7 +220,7 @@
 // outcomeOf returns how a failure counts against the backend server.
 func outcomeOf(f *failure.Failure) scheduler.Outcome {
 	switch f.Kind {
-	case kind.CancelledByCaller, kind.BrokenRequestBody, kind.DeadlineBeforeRun, kind.UnreachablePeer:
+	case kind.CancelledByCaller, kind.QuarantinedDuringRun, kind.BrokenRequestBody, kind.DeadlineBeforeRun, kind.UnreachablePeer:
 		return scheduler.Cancelled
 	case kind.DeadlineDuringRun:
 		return scheduler.Expired
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -16,6 +16,7 @@
 	"filbertturn.example/filbertturn/internal/backend/incarnation"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/freshness"
+	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
@@ -34,6 +35,16 @@
 	connectTimeout = 300 * time.Millisecond
 )
 
+// Quarantine holds the requests that crash backend servers.
+type Quarantine interface {
+	// Verdict returns what is held of a request.
+	Verdict(f fingerprint.Fingerprint) blame.Verdict
+	// ReportCrash records that the backend server crashed while requests ran.
+	ReportCrash(ctx context.Context, service string, server netip.AddrPort, running []blame.Request)
+	// ReportGoodEnd records that a run of a request ended with a response.
+	ReportGoodEnd(f fingerprint.Fingerprint)
+}
+
 // Executor runs requests on one backend server and follows whether it is in service. Its
 // methods may be called by several goroutines at once.
 type Executor struct {
@@ -50,6 +61,9 @@
 	// during its cold start; zero if there is no limit.
 	ColdRate func(service string) float64
 
+	// Quarantine holds the requests that crash backend servers; nil if none is known.
+	Quarantine Quarantine
+
 	// Fingerprints keys the fingerprints of requests whose body is read while they run.
 	Fingerprints fingerprint.Key
 
@@ -64,6 +78,7 @@
 	limit     dialect.RequestLimit             // As the current incarnation named it last.
 	malformed string                           // Latest log text about a header field that cannot be read.
 	waiters   map[uint64]chan scheduler.Effect // Requests that wait for a slot, by identifier.
+	orders    map[uint64]*order.Order          // Requests that run or wait, by identifier.
 	running   map[uint64]*execution            // Requests that hold a slot, by identifier.
 	check     *crashCheck                      // The latest one; nil if there was none.
 	timer     *time.Timer
@@ -226,6 +241,10 @@
 
 // Run implements transport.Executor.
 func (ex *Executor) Run(ctx context.Context, o *order.Order, verdict func(transport.Verdict), body func() (io.Reader, error)) (*exchange.Response, error) {
+	if v, refused := ex.screen(o); refused {
+		verdict(v)
+		return nil, v.Failure()
+	}
 	id, wait := ex.requestSlot(time.Now(), o)
 	if err := ex.awaitSlot(ctx, id, o, wait, verdict); err != nil {
 		return nil, err
@@ -235,6 +254,7 @@
 		ex.release(id, scheduler.Cancelled)
 		return nil, err
 	}
+	ctx = x.stoppable(ctx)
 	x.logLimited()
 	reader, err := body()
 	if err != nil {
@@ -258,10 +278,14 @@
 	}
 	ex.waiters[id] = wait
 	a, serving := ex.tracker.Serving()
-	if !serving || a.Service != o.Service {
+	if !serving || a.Service != o.Service || o.Trial && ex.runsTrial() {
 		ex.deliver([]scheduler.Effect{scheduler.Refuse{ID: id}})
 		return id, wait
 	}
+	if ex.orders == nil {
+		ex.orders = make(map[uint64]*order.Order)
+	}
+	ex.orders[id] = o
 	ex.deliver(ex.scheduler.Acquire(now, scheduler.Request{
 		ID: id, Route: o.Route, Priority: o.Priority, Nested: o.Nested, Steps: o.Steps, Idempotent: o.Idempotent, Retry: o.Retry,
 		Level: o.Level, Deadline: o.Deadline, Due: o.Due, QueueDeadline: o.QueueDeadline, Objective: o.Objective,
@@ -351,6 +375,7 @@
 	defer ex.mu.Unlock()
 	ex.inFlight--
 	delete(ex.waiters, id)
+	delete(ex.orders, id)
 	delete(ex.running, id)
 	ex.deliver(ex.scheduler.Release(time.Now(), id, o))
 }
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -87,6 +87,17 @@
 	ReportAlive(p nodetable.Presence)
 }
 
+// Blame is what a node knows of requests that crash backend servers.
+type Blame interface {
+	// Digest returns a number that nodes with the same knowledge have in common; zero
+	// for none.
+	Digest() uint64
+	// Reply returns the answer to the digest of another node, with what it may lack.
+	Reply(m *peerpb.Blame) *peerpb.Blame
+	// Reconcile applies such an answer, and tells the other node what that lacks.
+	Reconcile(from netip.AddrPort, m *peerpb.Blame)
+}
+
 // Gossiper exchanges the states and loads of nodes with other nodes. The exported
 // fields must be set before Start.
 type Gossiper struct {
@@ -95,6 +106,7 @@
 	Mesh       *link.Mesh
 	Nodes      Nodes
 	Loads      Loads
+	Blame      Blame                               // Nil if nothing is known.
 	Stamp      func(now time.Time) freshness.Stamp // Freshness of this node's configuration.
 
 	// OnConfigStamp is called with the freshness stamp in a reply. The stamp's age is
@@ -197,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	asked := time.Now()
-	payload, err := g.encode(asked, list, nil)
+	payload, err := g.encode(asked, list, nil, g.ownDigest())
 	if err != nil {
 		g.Log.Error().Err(err).Msg("cannot encode a gossip message")
 		return
@@ -229,7 +241,7 @@
 		for _, n := range list {
 			g.observe(now, n)
 		}
-		return g.encode(now, g.nodeStates(now, ""), g.completeDataCentres(now, g.Nodes.ActiveByDataCentre()))
+		return g.encode(now, g.nodeStates(now, ""), g.completeDataCentres(now, g.Nodes.ActiveByDataCentre()), g.blameReply(m.GetBlame()))
 	}
 	answer := g.nodeStates(now, g.DataCentre)
 	first := g.Nodes.ActiveByDataCentre()[from]
@@ -239,7 +251,27 @@
 			answer = append(answer, n)
 		}
 	}
-	return g.encode(now, answer, g.completeDataCentres(now, map[string][]netip.AddrPort{g.DataCentre: nil}))
+	return g.encode(now, answer, g.completeDataCentres(now, map[string][]netip.AddrPort{g.DataCentre: nil}), g.blameReply(m.GetBlame()))
+}
+
+// ownDigest returns the digest of what is known of crashes, or nil if nothing is.
+func (g *Gossiper) ownDigest() *peerpb.Blame {
+	if g.Blame == nil {
+		return nil
+	}
+	if digest := g.Blame.Digest(); digest != 0 {
+		return &peerpb.Blame{Digest: digest}
+	}
+	return nil
+}
+
+// blameReply returns the answer to another node's digest, or nil if neither knows
+// anything.
+func (g *Gossiper) blameReply(m *peerpb.Blame) *peerpb.Blame {
+	if g.Blame == nil || m == nil && g.Blame.Digest() == 0 {
+		return nil
+	}
+	return g.Blame.Reply(m)
 }
 
 // completeDataCentres returns the names of the data centres in nodes if this node knows
@@ -263,6 +295,9 @@
 	if f := m.GetFreshness(); f != nil {
 		g.OnConfigStamp(from, asked, transport.StampFromProto(f))
 	}
+	if b := m.GetBlame(); b != nil && g.Blame != nil {
+		g.Blame.Reconcile(from, b)
+	}
 	return nil
 }
 
--- a/internal/node/gossip/state.go
+++ b/internal/node/gossip/state.go
@@ -46,9 +46,9 @@
 
 // encode returns a gossip message. Names of data centres and services are written once
 // and referred to by index.
-func (g *Gossiper) encode(now time.Time, list []nodeState, complete []string) ([]byte, error) {
+func (g *Gossiper) encode(now time.Time, list []nodeState, complete []string, blame *peerpb.Blame) ([]byte, error) {
 	m := &peerpb.Loads{
-		DataCentre: g.DataCentre, Freshness: transport.StampToProto(g.Stamp(now)), Complete: complete,
+		DataCentre: g.DataCentre, Freshness: transport.StampToProto(g.Stamp(now)), Complete: complete, Blame: blame,
 		Nodes: make([]*peerpb.NodeLoad, 0, len(list)),
 	}
 	indexes := make(map[string]uint32)
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -49,6 +50,13 @@
 // caller disconnects.
 const maxBufferedBody = 64 << 10
 
+// maxHeldBody bounds the body, in bytes, that is read before a request is sent that may be one
+// which crashes backend servers.
+const maxHeldBody = 8 << 20
+
+// maxHeldBodies bounds the sum of these bodies, in bytes.
+const maxHeldBodies = 4 * maxHeldBody
+
 // defaultObjectiveFraction is the fraction of its timeout that a route without a latency
 // objective gets as its objective.
 const defaultObjectiveFraction = 0.25
@@ -72,6 +80,13 @@
 	Forward(ctx context.Context, r *dispatcher.Request) (*exchange.Response, error)
 }
 
+// Suspects knows the requests that may crash backend servers.
+type Suspects interface {
+	// BodyLimit returns the length of the longest body among those with the fingerprint of
+	// the head, or false if there are none.
+	BodyLimit(head fingerprint.Fingerprint) (int64, bool)
+}
+
 // Recorder records every request that has ended.
 type Recorder interface {
 	// RecordRequest records a request's route, which is empty if none matched, its
@@ -89,10 +104,13 @@
 	Limiter   Limiter
 	Forwarder Forwarder
 	Recorder  Recorder
+	Suspects  Suspects        // Nil if there are none.
 	Key       fingerprint.Key // Keys the fingerprints of requests.
 	Closing   func() bool     // Reports whether callers must open new connections to other nodes.
 	Log       zerolog.Logger
 
+	held atomic.Int64 // Bytes that may be held of bodies that are read before they are sent.
+
 	// Configuration returns the configuration, or nil if there is none and none arrives
 	// within maxWait.
 	Configuration func(ctx context.Context, maxWait time.Duration) *snapshot.Snapshot
@@ -114,6 +132,7 @@
 	customer    set.Customer
 	deadline    time.Time
 	request     dispatcher.Request
+	held        int64                       // Part of Ingress.held that is the request's.
 	endCall     func(scheduler.CallOutcome) // Nil if it is not a nested call of the backend server.
 }
 
@@ -129,6 +148,7 @@
 	}
 	response, cancel, err := i.handle(r.Context(), rs)
 	defer cancel()
+	defer func() { i.held.Add(-rs.held) }()
 	if err != nil {
 		f := failure.From(err)
 		i.Dialect.WriteError(w, f)
@@ -154,7 +174,11 @@
 	i.buildRequest(rs)
 	o := &rs.request.Order
 	digest := i.Key.Start(o.Method, o.Host, o.Target, o.Customer)
-	if err := rs.bufferBody(digest); err != nil {
+	limit, err := i.bodyLimit(rs, digest)
+	if err == nil {
+		err = rs.bufferBody(limit, digest)
+	}
+	if err != nil {
 		return nil, cancel, err
 	}
 	if rs.request.Order.Nested {
@@ -281,20 +305,42 @@
 	}
 }
 
-// bufferBody reads a short body to its end before the request waits for a slot, because
-// net/http notices that a caller has disconnected only once the body was read. It sets the
-// request's fingerprint, unless the body is long or of unknown length.
-func (rs *requestState) bufferBody(digest *fingerprint.Digest) error {
-	switch n := rs.httpRequest.ContentLength; {
-	case n == 0:
+// bodyLimit returns the number of bytes of the body that are read before the request is sent. Short
+// bodies are read whole, because net/http notices that a caller has disconnected only once the body was
+// read. Longer ones are read only if the request may be one that crashes backend servers: there is
+// no more of the body than one of those has.
+func (i *Ingress) bodyLimit(rs *requestState, digest *fingerprint.Digest) (int64, error) {
+	n := rs.httpRequest.ContentLength
+	if n >= 0 && n <= maxBufferedBody {
+		return n, nil
+	}
+	if i.Suspects == nil {
+		return 0, nil
+	}
+	limit, ok := i.Suspects.BodyLimit(digest.Sum())
+	if !ok || n > limit {
+		return 0, nil
+	}
+	rs.held = min(limit, maxHeldBody)
+	if i.held.Add(rs.held) > maxHeldBodies {
+		return 0, failure.New(kind.Suspected, "too many bodies are examined", nil)
+	}
+	return rs.held, nil
+}
+
+// bufferBody reads up to limit bytes of the body, and sets the request's fingerprint if
+// that is all of it.
+func (rs *requestState) bufferBody(limit int64, digest *fingerprint.Digest) error {
+	if rs.httpRequest.ContentLength == 0 {
 		rs.request.Order.Fingerprint = digest.Sum()
 		return nil
-	case n < 0 || n > maxBufferedBody:
+	}
+	if limit == 0 {
 		return nil
 	}
 	// Fails for writers without deadlines; those of http.Server have them.
 	_ = rs.controller.SetReadDeadline(rs.deadline)
-	b, err := io.ReadAll(rs.httpRequest.Body)
+	b, err := io.ReadAll(io.LimitReader(rs.httpRequest.Body, limit+1))
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.New(kind.DeadlineBeforeRun, "", err)
@@ -302,7 +348,11 @@
 		return failure.New(kind.BrokenRequestBody, "", err)
 	}
 	_ = rs.controller.SetReadDeadline(time.Time{})
-	rs.request.Body = replay.New(io.NopCloser(bytes.NewReader(b)))
+	if int64(len(b)) > limit {
+		rs.request.Body = replay.New(io.MultiReader(bytes.NewReader(b), rs.httpRequest.Body))
+		return nil
+	}
+	rs.request.Body = replay.New(bytes.NewReader(b))
 	_, _ = digest.Write(b)
 	rs.request.Order.Fingerprint = digest.Sum()
 	return nil
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -32,6 +32,7 @@
 	"filbertturn.example/filbertturn/internal/node/ingress"
 	"filbertturn.example/filbertturn/internal/node/kvstore"
 	"filbertturn.example/filbertturn/internal/node/metrics"
+	"filbertturn.example/filbertturn/internal/node/quarantine"
 	"filbertturn.example/filbertturn/internal/node/quotas"
 	"filbertturn.example/filbertturn/internal/node/retrybudget"
 	"filbertturn.example/filbertturn/internal/peer/link"
@@ -123,6 +124,7 @@
 	gossiper      *gossip.Gossiper
 	quotaEnforcer *quotas.Enforcer
 	retryBudget   *retrybudget.Budget
+	guard         *quarantine.Guard
 	evacuation    *evacuation.Watcher // Nil if data centres are not evacuated.
 	metrics       *metrics.Metrics
 	closing       atomic.Bool
@@ -137,9 +139,14 @@
 	c := &Sidecar{settings: s, adapter: adapter, log: log, metrics: metrics.New(), serveErrors: make(chan error, 1)}
 	c.mesh = link.New(nil, nil, c)
 	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, Self: s.PeerAddress}
+	c.guard = &quarantine.Guard{
+		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Log: log, Count: c.metrics.IncrementCounter,
+		InService:    func(service string) int { return c.dispatcher.InService(service) },
+		OnQuarantine: func(f fingerprint.Fingerprint) { c.executor.StopRequests(f) },
+	}
 	c.executor = &executor.Executor{
 		Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, ColdRate: c.coldRate, Stamp: c.syncer.Stamp, Log: log,
-		Fingerprints: fingerprint.NewKey(s.Fleet),
+		Fingerprints: fingerprint.NewKey(s.Fleet), Quarantine: c.guard,
 	}
 	c.discovery = &discovery.Discovery{
 		Self: nodetable.Record{
@@ -148,14 +155,15 @@
 		},
 		Store: adapter.Store, Mesh: c.mesh, Load: c.executor.Load, Log: log, OnNodeAdded: c.addNode, OnPresence: c.updateNode, OnNodeRemoved: c.removeNode,
 	}
+	c.guard.Homes, c.guard.Nodes = c.discovery.Homes, c.discovery.ActiveByDataCentre
 	c.syncer.Neighbours, c.syncer.Joined = c.discovery.Neighbours, c.discovery.Joined
 	c.retryBudget = &retrybudget.Budget{Self: s.PeerAddress, Mesh: c.mesh, Homes: c.discovery.Homes, Limits: c.retryLimits, Log: log}
 	c.dispatcher = &dispatcher.Dispatcher{
-		Self: s.PeerAddress, DataCentre: s.DataCentre, Local: c.executor, Transport: &transport.Client{Mesh: c.mesh}, RetryBudget: c.retryBudget, Log: log,
+		Self: s.PeerAddress, DataCentre: s.DataCentre, Local: c.executor, Transport: &transport.Client{Mesh: c.mesh}, RetryBudget: c.retryBudget, Quarantine: c.guard, Log: log,
 		OnConfigStamp: c.syncer.ObserveStamp,
 	}
 	c.gossiper = &gossip.Gossiper{
-		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Nodes: c.discovery, Loads: c.dispatcher,
+		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Nodes: c.discovery, Loads: c.dispatcher, Blame: c.guard,
 		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp, Log: log,
 	}
 	c.discovery.IsSuperPeer = c.gossiper.IsSuperPeer
@@ -255,6 +263,10 @@
 			return c.evacuation.Answer(time.Now())
 		}
 		return nil, errors.New("data centres are not evacuated")
+	case question.Blame:
+		return c.guard.AnswerBlame(payload)
+	case question.Trial:
+		return c.guard.AnswerTrial(time.Now(), payload)
 	case question.Loads:
 		return c.gossiper.Answer(time.Now(), payload)
 	default:
@@ -291,6 +303,7 @@
 	}
 	c.discovery.Start(ctx, &c.timers)
 	c.gossiper.Start(ctx, &c.timers)
+	go c.guard.Start(ctx, c.discovery.Joined)
 	c.timers.Subscribe(idleCheckInterval, func(t timer.Tick) { c.mesh.CloseIdle(t.Now) })
 	c.log.Info().Str("Name", c.settings.Name).Str("DataCentre", c.settings.DataCentre).Str("Service", c.settings.Service).
 		Stringer("Callers", c.settings.CallerAddress).Stringer("Peers", c.settings.PeerAddress).Dur("Took", time.Since(started)).Msg("node started")
@@ -316,7 +329,7 @@
 	callers := &ingress.Ingress{
 		Service: c.settings.Service, Dialect: c.adapter.Dialect, Configuration: c.syncer.Await, Limiter: c.quotaEnforcer,
 		Forwarder: c.dispatcher, Recorder: c, Closing: c.closing.Load, Log: c.log, StartCall: c.executor.StartCall,
-		Key: fingerprint.NewKey(c.settings.Fleet),
+		Key: fingerprint.NewKey(c.settings.Fleet), Suspects: c.guard,
 	}
 	c.registerGauges()
 	for _, l := range []struct {
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -22,4 +22,6 @@
 	SubstituteTokens                 // Tokens of a customer whose home does not answer the sender.
 	PooledRetry                      // One retry from the pooled retry budget of a service.
 	Evacuation                       // Whether the data centre is evacuated, as the peer knows it.
+	Blame                            // Crashes of backend servers and the requests that ran there.
+	Trial                            // Whether a suspected request may run, or that its run has ended.
 )
--- a/internal/peer/transport/executor.go
+++ b/internal/peer/transport/executor.go
@@ -19,7 +19,7 @@
 // Executor runs the orders that other nodes offer to this node.
 type Executor interface {
 	// Run calls verdict with its decisions on o, at most one Waiting and then Accepted,
-	// Refused or Overloaded, and runs o once it is accepted. After it has accepted, it
+	// one of the refusals, and runs o once it is accepted. After it has accepted, it
 	// calls body, which returns nil if there is no body.
 	Run(ctx context.Context, o *order.Order, verdict func(Verdict), body func() (io.Reader, error)) (*exchange.Response, error)
 
@@ -99,6 +99,7 @@
 		Retry:         head.GetRepeat(),
 		Level:         order.Level(head.GetLevel()),
 		Fingerprint:   fingerprint.FromBytes(head.GetFingerprint()),
+		Trial:         head.GetTrial(),
 	}
 }
 
--- a/internal/peer/transport/offer.go
+++ b/internal/peer/transport/offer.go
@@ -38,6 +38,10 @@
 	Waiting
 	Accepted
 	Overloaded // Refused, and no other owner is to be asked: calls that the request makes would be refused.
+
+	// Refused, and no other owner is to be asked, as the request may crash backend servers.
+	Suspected
+	Quarantined
 )
 
 // Verdict is an owner's decision on an offer.
@@ -55,6 +59,10 @@
 	case Refused:
 	case Overloaded:
 		k = kind.Overloaded
+	case Suspected:
+		k = kind.Suspected
+	case Quarantined:
+		k = kind.Quarantined
 	default:
 		return nil
 	}
@@ -287,6 +295,7 @@
 		DueNanos:       int64(time.Until(o.Due)),
 		PatienceNanos:  int64(time.Until(o.QueueDeadline)),
 		Fingerprint:    o.Fingerprint[:],
+		Trial:          o.Trial,
 	}
 }
 
--- a/internal/request/kind/kind.go
+++ b/internal/request/kind/kind.go
@@ -38,6 +38,10 @@
 	LapsedAuthority
 	OtherIncarnation
 	Overloaded
+	CrashedBackendServer
+	Suspected
+	Quarantined
+	QuarantinedDuringRun
 	count
 )
 
@@ -88,6 +92,10 @@
 	BrokenRequestBody:        {"BrokenRequestBody", http.StatusBadRequest, Unknown, false, "The body of the request ended early."},
 	OtherIncarnation:         {"OtherIncarnation", http.StatusServiceUnavailable, NotRun, true, "Another incarnation has the backend server's address."},
 	Overloaded:               {"Overloaded", http.StatusServiceUnavailable, NotRun, true, "A service that the request depends on has no room."},
+	CrashedBackendServer:     {"CrashedBackendServer", http.StatusBadGateway, Unknown, false, "The backend server crashed while it ran the request."},
+	Suspected:                {"Suspected", http.StatusServiceUnavailable, NotRun, true, "A backend server crashed while it ran the same request, which may run again only alone."},
+	Quarantined:              {"Quarantined", http.StatusServiceUnavailable, NotRun, false, "The same request has crashed several backend servers."},
+	QuarantinedDuringRun:     {"QuarantinedDuringRun", http.StatusBadGateway, Unknown, false, "The request was stopped, because the same request has crashed several backend servers."},
 	LapsedAuthority:          {"LapsedAuthority", http.StatusServiceUnavailable, Unknown, false, "The node ceased to be current while the request was under way."},
 }
 
--- a/internal/request/order/order.go
+++ b/internal/request/order/order.go
@@ -49,4 +49,8 @@
 	// Fingerprint identifies the request if it comes again. It is zero while the body has
 	// not been read to its end.
 	Fingerprint fingerprint.Fingerprint
+
+	// Trial says that the home of the request lets it run although it is suspected of
+	// crashing backend servers.
+	Trial bool
 }
--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -136,6 +136,18 @@
 	r.order = slices.DeleteFunc(r.order, func(b netip.AddrPort) bool { return a == b })
 }
 
+// InService returns the number of backend servers of a service that are in service, as far as
+// is known. Those whose load is unknown or old do not count.
+func (r *Ranking) InService(now time.Time, service string) int {
+	n := 0
+	for _, c := range r.nodes {
+		if c.node.Service == service && c.load.Serving && !c.loadTime.IsZero() && now.Sub(c.loadTime) < loadLifetime {
+			n++
+		}
+	}
+	return n
+}
+
 // UpdateLoad stores the load in a node's response to this entry. Since the response proves
 // that the node is reachable, it also ends the backoff and clears the failures that this
 // entry has seen.
