Refuse copies of a request that wait once it is suspected

Cause: a verdict reached only copies that had not been offered yet. A hedge that waited for a slot when its first copy was in a crash went on waiting and ran without leave of the home, beside the trial of the harmful request.

Change: a verdict is applied to what waits at each node: suspects without leave are refused, and their entries ask for it. TestExecutor_ApplyVerdict has the cases, and fails without it. Events name the node beside the backend server.

--- a/internal/health/blame/ledger.go
+++ b/internal/health/blame/ledger.go
@@ -72,13 +72,13 @@
 // Event is one crash as it counts against one request.
 type Event struct {
 	Request
-	ID            uint64 // Unique; those of later crashes are mostly greater.
-	Crash         uint64 // The same for all requests that ran.
-	Service       string
-	BackendServer netip.AddrPort
-	Share         float64 // Part of the blame, from 0 to 1: all requests that ran share it.
-	At            time.Time
-	Withdrawn     bool // A later run ended well, or an operator has withdrawn it.
+	ID        uint64 // Unique; those of later crashes are mostly greater.
+	Crash     uint64 // The same for all requests that ran.
+	Service   string
+	Node      netip.AddrPort // The one beside the backend server.
+	Share     float64        // Part of the blame, from 0 to 1: all requests that ran share it.
+	At        time.Time
+	Withdrawn bool // A later run ended well, or an operator has withdrawn it.
 }
 
 // Case is a request with the events against it, for operators.
@@ -100,9 +100,9 @@
 	purgedAt  time.Time
 }
 
-// Crash records that a backend server crashed while requests ran, and returns the events. A
+// Crash records that the backend server beside a node crashed while requests ran, and returns the events. A
 // request that has ended well at this node lately bears no blame if there is another one that has not.
-func (l *Ledger) Crash(now time.Time, service string, server netip.AddrPort, running []Request) []Event {
+func (l *Ledger) Crash(now time.Time, service string, node netip.AddrPort, running []Request) []Event {
 	suspects := l.suspects(now, running)
 	if len(suspects) == 0 {
 		return nil
@@ -114,7 +114,7 @@
 			continue
 		}
 		events = append(events, Event{
-			Request: r, ID: crash + uint64(i), Crash: crash, Service: service, BackendServer: server, Share: 1 / float64(len(suspects)), At: now,
+			Request: r, ID: crash + uint64(i), Crash: crash, Service: service, Node: node, Share: 1 / float64(len(suspects)), At: now,
 		})
 	}
 	l.Merge(now, events)
@@ -327,14 +327,14 @@
 // was in both, and no backend server of the service crashed without it.
 func (l *Ledger) alone(list []*Event) bool {
 	var crashIDs []uint64
-	servers := make(map[netip.AddrPort]bool)
+	nodes := make(map[netip.AddrPort]bool)
 	for _, e := range list {
 		if !e.Withdrawn {
 			crashIDs = append(crashIDs, e.Crash)
-			servers[e.BackendServer] = true
+			nodes[e.Node] = true
 		}
 	}
-	if len(servers) < 2 {
+	if len(nodes) < 2 {
 		return false
 	}
 	others := make(map[fingerprint.Fingerprint]int)
--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -102,7 +102,7 @@
 		}
 		requests = append(requests, r)
 	}
-	ex.Quarantine.ReportCrash(ctx, x.order.Service, ex.Address, requests)
+	ex.Quarantine.ReportCrash(ctx, x.order.Service, requests)
 }
 
 // finishBodies reads bodies to their ends that were under way when the backend server crashed, so
@@ -133,21 +133,26 @@
 	return ex.Quarantine.Verdict(f)
 }
 
-// screen refuses a request that is quarantined, or that is suspected and was sent without a
-// trial.
-func (ex *Executor) screen(o *order.Order) (transport.Verdict, bool) {
-	v := transport.Verdict{Load: ex.Load(time.Now()), Stamp: ex.Stamp(time.Now())}
+// judge returns the refusal of a request that is quarantined, or suspected and sent without
+// a trial.
+func (ex *Executor) judge(o *order.Order) (transport.Verdict, bool) {
 	switch ex.verdict(o.Fingerprint) {
 	case blame.Quarantined:
-		v.Decision = transport.Quarantined
+		return transport.Verdict{Decision: transport.Quarantined}, true
 	case blame.Suspected:
-		v.Decision = transport.Suspected
-		if o.Trial {
-			return v, false
-		}
-	case blame.Clear:
+		return transport.Verdict{Decision: transport.Suspected}, !o.Trial
+	default:
+		return transport.Verdict{}, false
+	}
+}
+
+// screen refuses a request that may crash the backend server before it waits for a slot.
+func (ex *Executor) screen(o *order.Order) (transport.Verdict, bool) {
+	v, refused := ex.judge(o)
+	if !refused {
 		return v, false
 	}
+	v.Load, v.Stamp = ex.Load(time.Now()), ex.Stamp(time.Now())
 	ex.Log.Info().Str("RequestID", o.ID).Stringer("Fingerprint", o.Fingerprint).Stringer("Kind", failure.From(v.Failure()).Kind).
 		Msg("request refused by the node beside the backend server: it may crash it")
 	return v, true
@@ -164,19 +169,20 @@
 	return false
 }
 
-// StopRequests refuses copies of a quarantined request that wait, and ends those that run.
-func (ex *Executor) StopRequests(f fingerprint.Fingerprint) {
+// ApplyVerdict applies a verdict to the copies of a request that are here: those that wait are refused, unless
+// they may run as a trial, and those of a quarantined request that run are ended.
+func (ex *Executor) ApplyVerdict(f fingerprint.Fingerprint, v blame.Verdict) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	for id, o := range ex.orders {
-		if o.Fingerprint != f {
-			continue
-		}
-		if x := ex.running[id]; x != nil && x.stop != nil {
+		x := ex.running[id]
+		switch {
+		case o.Fingerprint != f || v == blame.Suspected && o.Trial:
+		case x == nil:
+			ex.deliverDecision(id, scheduler.Refuse{ID: id})
+		case v == blame.Quarantined && x.stop != nil:
 			x.stop(errQuarantined)
-			continue
 		}
-		ex.deliverDecision(id, scheduler.Refuse{ID: id})
 	}
 }
 
--- /dev/null
+++ b/internal/node/executor/crash_test.go
@@ -0,0 +1,354 @@
+package executor_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/incarnation"
+	"filbertturn.example/filbertturn/internal/health/blame"
+	"filbertturn.example/filbertturn/internal/node/executor"
+	"filbertturn.example/filbertturn/internal/peer/transport"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
+	"filbertturn.example/filbertturn/internal/request/kind"
+	"filbertturn.example/filbertturn/internal/request/order"
+)
+
+// fakeQuarantine records what an executor reports.
+type fakeQuarantine struct {
+	mu       sync.Mutex
+	verdicts map[fingerprint.Fingerprint]blame.Verdict
+	crashes  [][]blame.Request
+	good     []fingerprint.Fingerprint
+}
+
+func (q *fakeQuarantine) Verdict(f fingerprint.Fingerprint) blame.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.verdicts[f]
+}
+
+func (q *fakeQuarantine) ReportCrash(_ context.Context, _ string, running []blame.Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.crashes = append(q.crashes, running)
+}
+
+func (q *fakeQuarantine) ReportGoodEnd(f fingerprint.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.good = append(q.good, f)
+}
+
+// fragileServer is a backend server whose process can crash.
+type fragileServer struct {
+	listener net.Listener
+	respond  func(s *fragileServer, conn net.Conn, target string) // Handles a request whose head and body were read.
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func startFragile(t *testing.T, respond func(s *fragileServer, conn net.Conn, target string)) *fragileServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &fragileServer{listener: l, respond: respond}
+	t.Cleanup(s.crash)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *fragileServer) serve(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if strings.HasPrefix(req.URL.Path, "/early") {
+			s.respond(s, conn, req.URL.Path)
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/healthz" {
+			answer(conn)
+			continue
+		}
+		s.respond(s, conn, req.URL.Path)
+	}
+}
+
+func answer(conn net.Conn) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+}
+
+// crash ends the process: the listener and all connections.
+func (s *fragileServer) crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func newFragileExecutor(t *testing.T, s *fragileServer) (*executor.Executor, *fakeQuarantine) {
+	t.Helper()
+	q := &fakeQuarantine{verdicts: make(map[fingerprint.Fingerprint]blame.Verdict)}
+	ex := newExecutor(netip.MustParseAddrPort(s.listener.Addr().String()), &logBuffer{})
+	ex.Quarantine, ex.Fingerprints = q, fingerprint.NewKey("f")
+	startServing(t, ex)
+	return ex, q
+}
+
+func newOrder(target string, f byte) *order.Order {
+	now := time.Now()
+	return &order.Order{
+		ID: target, Method: http.MethodPost, Target: target, Host: "h", Header: http.Header{}, Route: "r", Service: "s", Level: order.Queued,
+		Deadline: now.Add(5 * time.Second), Due: now.Add(5 * time.Second), QueueDeadline: now.Add(5 * time.Second), Objective: 5 * time.Second,
+		Fingerprint: fingerprint.Fingerprint{f},
+	}
+}
+
+func run(t *testing.T, ex *executor.Executor, o *order.Order, body io.Reader) error {
+	response, err := ex.Run(t.Context(), o, func(transport.Verdict) {}, func() (io.Reader, error) { return body, nil })
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return err
+}
+
+// TestExecutor_Run_crash checks that only a crash of the backend server counts as one, and that it is blamed once
+// on all requests that ran, whichever of them notices it.
+func TestExecutor_Run_crash(t *testing.T) {
+	tests := []struct {
+		desc    string
+		respond func(s *fragileServer, conn net.Conn, target string)
+		leave   bool // The backend server says that it leaves before the requests end.
+		want    int  // Requests blamed.
+		kind    kind.Kind
+	}{
+		{"crash", func(s *fragileServer, _ net.Conn, target string) {
+			if target == "/1" {
+				time.Sleep(50 * time.Millisecond)
+				s.crash()
+			}
+		}, false, 3, kind.CrashedBackendServer},
+		{"connection reset", func(_ *fragileServer, conn net.Conn, _ string) {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}, false, 0, kind.BrokenAnswer},
+		{"connection closed", func(_ *fragileServer, conn net.Conn, _ string) { _ = conn.Close() }, false, 0, kind.BrokenAnswer},
+		{"truncated response", func(_ *fragileServer, conn net.Conn, _ string) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok")
+			_ = conn.Close()
+		}, false, 0, kind.BrokenAnswer},
+		{"bytes that are no response", func(_ *fragileServer, conn net.Conn, _ string) { _, _ = io.WriteString(conn, "no\r\n\r\n") }, false, 0, kind.BrokenAnswer},
+		{"planned stop", func(s *fragileServer, _ net.Conn, target string) {
+			if target == "/1" {
+				time.Sleep(100 * time.Millisecond)
+				s.crash()
+			}
+		}, true, 0, kind.BrokenAnswer},
+	}
+	for _, tt := range tests {
+		s := startFragile(t, tt.respond)
+		ex, q := newFragileExecutor(t, s)
+		var wg sync.WaitGroup
+		errs := make([]error, 3)
+		for i, target := range []string{"/1", "/2", "/3"} {
+			wg.Go(func() { errs[i] = run(t, ex, newOrder(target, byte(i+1)), nil) })
+		}
+		if tt.leave {
+			time.Sleep(30 * time.Millisecond)
+			ex.Deregister("i-1", time.UnixMilli(1))
+		}
+		wg.Wait()
+		got := 0
+		for _, c := range q.crashes {
+			got += len(c)
+		}
+		if got != tt.want || tt.want > 0 && len(q.crashes) != 1 {
+			t.Errorf("%s: got %d requests blamed in %d crashes, want %d", tt.desc, got, len(q.crashes), tt.want)
+		}
+		for i, err := range errs {
+			if f := failure.From(err); err == nil || f.Kind != tt.kind {
+				t.Errorf("%s, request %d: got %v, want %s", tt.desc, i+1, err, tt.kind)
+			}
+		}
+	}
+}
+
+// TestExecutor_Run_crash_body checks that requests whose body is read while they run are recognised,
+// also if the backend server crashes before it has read all of it.
+func TestExecutor_Run_crash_body(t *testing.T) {
+	body := strings.Repeat("0123456789", 50_000)
+	for _, target := range []string{"/late", "/early"} {
+		s := startFragile(t, func(s *fragileServer, _ net.Conn, _ string) { s.crash() })
+		ex, q := newFragileExecutor(t, s)
+		o := newOrder(target, 0)
+		o.Fingerprint, o.ContentLength = fingerprint.Fingerprint{}, -1
+		if err := run(t, ex, o, strings.NewReader(body)); failure.From(err).Kind != kind.CrashedBackendServer {
+			t.Errorf("%s: got %v, want a crash", target, err)
+		}
+		d := ex.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer)
+		want := blame.Request{Head: d.Sum(), BodyBytes: int64(len(body))}
+		_, _ = io.WriteString(d, body)
+		want.Fingerprint = d.Sum()
+		if len(q.crashes) != 1 || len(q.crashes[0]) != 1 || q.crashes[0][0] != want {
+			t.Errorf("%s: got %+v, want %+v", target, q.crashes, want)
+		}
+	}
+}
+
+// TestExecutor_Run_crash_restart checks that a crashed backend server gets nothing until its next
+// incarnation, whose own crash counts again.
+func TestExecutor_Run_crash_restart(t *testing.T) {
+	s := startFragile(t, func(s *fragileServer, _ net.Conn, _ string) { s.crash() })
+	ex, q := newFragileExecutor(t, s)
+	_ = run(t, ex, newOrder("/1", 1), nil)
+	if f := failure.From(run(t, ex, newOrder("/2", 2), nil)); f.Kind != kind.NoCapacity {
+		t.Errorf("got %s from a crashed backend server, want %s", f.Kind, kind.NoCapacity)
+	}
+	next := startFragile(t, func(s *fragileServer, _ net.Conn, _ string) { s.crash() })
+	ex.Address = netip.MustParseAddrPort(next.listener.Addr().String())
+	ex.Heartbeat(incarnation.Announcement{InstanceID: "i-1", StartedAt: time.UnixMilli(2), Sequence: 1, Service: "s", Address: ex.Address, Slots: 3})
+	for deadline := time.Now().Add(5 * time.Second); !ex.Load(time.Now()).Serving; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("got no backend server in service after 5 s, want one")
+		}
+	}
+	_ = run(t, ex, newOrder("/3", 3), nil)
+	if len(q.crashes) != 2 {
+		t.Errorf("got %d crashes, want 2", len(q.crashes))
+	}
+}
+
+// TestExecutor_ApplyVerdict checks that copies of a request that wait are refused once it is suspected, but
+// for a trial, and that those that run are ended once it is quarantined.
+func TestExecutor_ApplyVerdict(t *testing.T) {
+	hang := func(_ *fragileServer, conn net.Conn, _ string) { _, _ = conn.Read(make([]byte, 1)) }
+	tests := []struct {
+		desc    string
+		verdict blame.Verdict
+		trial   bool
+		running kind.Kind // Internal if the run goes on.
+		waiting kind.Kind
+	}{
+		{"suspected", blame.Suspected, false, kind.Internal, kind.NoCapacity},
+		{"suspected, as a trial", blame.Suspected, true, kind.Internal, kind.Internal},
+		{"quarantined", blame.Quarantined, false, kind.QuarantinedDuringRun, kind.NoCapacity},
+	}
+	for _, tt := range tests {
+		ex, _ := newFragileExecutor(t, startFragile(t, hang))
+		ends := make(map[string]chan error)
+		start := func(name string, f byte, trial bool) {
+			end := make(chan error, 1)
+			ends[name] = end
+			o := newOrder("/"+strings.ReplaceAll(name, " ", "-"), f)
+			o.Trial = trial
+			go func() { end <- run(t, ex, o, nil) }()
+		}
+		start("running", 1, false)
+		start("other 1", 2, false)
+		start("other 2", 3, false)
+		awaitLoad(t, ex, 3, 0)
+		start("waiting", 1, tt.trial)
+		awaitLoad(t, ex, 3, 1)
+		ex.ApplyVerdict(fingerprint.Fingerprint{1}, tt.verdict)
+		for name, want := range map[string]kind.Kind{"running": tt.running, "waiting": tt.waiting, "other 1": kind.Internal} {
+			got := kind.Internal
+			select {
+			case err := <-ends[name]:
+				got = failure.From(err).Kind
+			case <-time.After(100 * time.Millisecond):
+			}
+			if got != want {
+				t.Errorf("%s, %s: got %s, want %s", tt.desc, name, got, want)
+			}
+		}
+	}
+}
+
+func awaitLoad(t *testing.T, ex *executor.Executor, running, waiting int) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		l := ex.Load(time.Now())
+		if l.Running == running && l.Waiting == waiting {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d running and %d waiting after 5 s, want %d and %d", l.Running, l.Waiting, running, waiting)
+		}
+	}
+}
+
+// TestExecutor_Run_verdict checks what a node beside a backend server refuses on its own, in case
+// the entry does not know of a crash yet.
+func TestExecutor_Run_verdict(t *testing.T) {
+	ex, q := newFragileExecutor(t, startFragile(t, func(_ *fragileServer, conn net.Conn, _ string) { answer(conn) }))
+	tests := []struct {
+		verdict blame.Verdict
+		trial   bool
+		want    kind.Kind // Internal if it runs.
+	}{
+		{blame.Clear, false, kind.Internal},
+		{blame.Suspected, false, kind.Suspected},
+		{blame.Suspected, true, kind.Internal},
+		{blame.Quarantined, false, kind.Quarantined},
+		{blame.Quarantined, true, kind.Quarantined},
+	}
+	for _, tt := range tests {
+		q.mu.Lock()
+		q.verdicts[fingerprint.Fingerprint{1}], q.good = tt.verdict, nil
+		q.mu.Unlock()
+		o := newOrder("/1", 1)
+		o.Trial = tt.trial
+		err := run(t, ex, o, nil)
+		got := kind.Internal
+		if err != nil {
+			got = failure.From(err).Kind
+		}
+		if got != tt.want || (err == nil) != (len(q.good) == 1) {
+			t.Errorf("%s, trial %t: got %v and %d good ends, want %s", tt.verdict, tt.trial, err, len(q.good), tt.want)
+		}
+	}
+}
+
+// TestExecutor_Run_twoTrials checks that a suspected request does not run beside another: a crash would
+// not tell which of the two is guilty.
+func TestExecutor_Run_twoTrials(t *testing.T) {
+	ex, _ := newFragileExecutor(t, startFragile(t, func(_ *fragileServer, conn net.Conn, _ string) { _, _ = conn.Read(make([]byte, 1)) }))
+	first, second := newOrder("/1", 1), newOrder("/2", 2)
+	first.Trial, second.Trial = true, true
+	go func() { _ = run(t, ex, first, nil) }()
+	awaitLoad(t, ex, 1, 0)
+	if f := failure.From(run(t, ex, second, nil)); f.Kind != kind.NoCapacity {
+		t.Errorf("got %s beside a trial, want %s", f.Kind, kind.NoCapacity)
+	}
+}
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -14,7 +14,6 @@
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
-	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -57,8 +56,8 @@
 	if !serving || ex.client == nil {
 		return nil, failure.New(kind.NoCapacity, "the backend server has left", nil)
 	}
-	if ex.verdict(o.Fingerprint) == blame.Quarantined {
-		return nil, failure.New(kind.Quarantined, "", nil)
+	if v, refused := ex.judge(o); refused {
+		return nil, v.Failure()
 	}
 	now := time.Now()
 	x := &execution{
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -40,7 +40,7 @@
 	// Verdict returns what is held of a request.
 	Verdict(f fingerprint.Fingerprint) blame.Verdict
 	// ReportCrash records that the backend server crashed while requests ran.
-	ReportCrash(ctx context.Context, service string, server netip.AddrPort, running []blame.Request)
+	ReportCrash(ctx context.Context, service string, running []blame.Request)
 	// ReportGoodEnd records that a run of a request ended with a response.
 	ReportGoodEnd(f fingerprint.Fingerprint)
 }
--- a/internal/node/quarantine/guard.go
+++ b/internal/node/quarantine/guard.go
@@ -54,8 +54,8 @@
 	InService  func(service string) int           // Backend servers of a service that are in service, as far as known.
 	Log        zerolog.Logger
 
-	// OnQuarantine is called, unless nil, after a request was quarantined.
-	OnQuarantine func(f fingerprint.Fingerprint)
+	// OnVerdict is called, unless nil, after a request became suspected or quarantined.
+	OnVerdict func(f fingerprint.Fingerprint, v blame.Verdict)
 
 	// Count adds one to a counter, unless nil.
 	Count func(name string)
@@ -95,10 +95,10 @@
 
 // ReportCrash records that the backend server beside this node crashed while requests ran. It
 // returns once the homes of the requests know, or do not answer.
-func (g *Guard) ReportCrash(ctx context.Context, service string, server netip.AddrPort, running []blame.Request) {
+func (g *Guard) ReportCrash(ctx context.Context, service string, running []blame.Request) {
 	now := time.Now()
 	g.mu.Lock()
-	events := g.ledger.Crash(now, service, server, running)
+	events := g.ledger.Crash(now, service, g.Self, running)
 	g.mu.Unlock()
 	g.observe(events)
 	if len(events) == 0 {
@@ -138,6 +138,19 @@
 	return true
 }
 
+// CrashedAt returns the nodes beside whose backend servers a request ran when they crashed.
+func (g *Guard) CrashedAt(f fingerprint.Fingerprint) []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var nodes []netip.AddrPort
+	for _, e := range g.ledger.EventsOf(f) {
+		if !e.Withdrawn {
+			nodes = append(nodes, e.Node)
+		}
+	}
+	return nodes
+}
+
 // Cases returns the requests that are suspected or quarantined.
 func (g *Guard) Cases() []blame.Case {
 	g.mu.Lock()
@@ -327,9 +340,9 @@
 		g.logVerdict(e, v, events)
 		if v == blame.Quarantined {
 			g.count("quarantined_total")
-			if g.OnQuarantine != nil {
-				g.OnQuarantine(e.Fingerprint)
-			}
+		}
+		if v != blame.Clear && g.OnVerdict != nil {
+			g.OnVerdict(e.Fingerprint, v)
 		}
 	}
 }
@@ -350,7 +363,7 @@
 func (g *Guard) logVerdict(e blame.Event, v blame.Verdict, events []blame.Event) {
 	list := zerolog.Arr()
 	for _, each := range events {
-		list.Dict(zerolog.Dict().Uint64("Crash", each.Crash).Stringer("BackendServer", each.BackendServer).Float64("Share", each.Share).
+		list.Dict(zerolog.Dict().Uint64("Crash", each.Crash).Stringer("At", each.Node).Float64("Share", each.Share).
 			Dur("Age", time.Since(each.At)).Bool("Withdrawn", each.Withdrawn))
 	}
 	g.Log.Info().Stringer("Fingerprint", e.Fingerprint).Str("Service", e.Service).Stringer("Verdict", v).Array("Events", list).
--- a/internal/node/quarantine/wire.go
+++ b/internal/node/quarantine/wire.go
@@ -18,9 +18,9 @@
 	list := make([]*peerpb.BlameEvent, 0, len(events))
 	for _, e := range events {
 		// An invalid address has no bytes; the receiver skips the event.
-		server, _ := e.BackendServer.MarshalBinary()
+		node, _ := e.Node.MarshalBinary()
 		m := &peerpb.BlameEvent{
-			Id: e.ID, Crash: e.Crash, Fingerprint: e.Fingerprint[:], BodyBytes: e.BodyBytes, Service: e.Service, BackendServer: server,
+			Id: e.ID, Crash: e.Crash, Fingerprint: e.Fingerprint[:], BodyBytes: e.BodyBytes, Service: e.Service, Node: node,
 			Share: float32(e.Share), AgeMillis: uint32(min(max(now.Sub(e.At).Milliseconds(), 0), math.MaxUint32)), Withdrawn: e.Withdrawn,
 		}
 		if !e.Head.IsZero() {
@@ -43,13 +43,13 @@
 			ID: m.GetId(), Crash: m.GetCrash(), Service: m.GetService(), Share: float64(m.GetShare()),
 			At: now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond), Withdrawn: m.GetWithdrawn(),
 		}
-		var server netip.AddrPort
-		valid := server.UnmarshalBinary(m.GetBackendServer()) == nil && server.IsValid() && !e.Fingerprint.IsZero() && e.ID != 0 &&
+		var node netip.AddrPort
+		valid := node.UnmarshalBinary(m.GetNode()) == nil && node.IsValid() && !e.Fingerprint.IsZero() && e.ID != 0 &&
 			e.BodyBytes >= 0 && len(e.Service) <= maxServiceName && e.Share >= 0 && e.Share <= 1
 		if !valid || len(events) == blame.MaxEvents {
 			continue
 		}
-		e.BackendServer = server
+		e.Node = node
 		events = append(events, e)
 	}
 	return events
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/fleet/nodetable"
+	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/node/configsync"
 	"filbertturn.example/filbertturn/internal/node/discovery"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
@@ -141,8 +142,8 @@
 	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, Self: s.PeerAddress}
 	c.guard = &quarantine.Guard{
 		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Log: log, Count: c.metrics.IncrementCounter,
-		InService:    func(service string) int { return c.dispatcher.InService(service) },
-		OnQuarantine: func(f fingerprint.Fingerprint) { c.executor.StopRequests(f) },
+		InService: func(service string) int { return c.dispatcher.InService(service) },
+		OnVerdict: func(f fingerprint.Fingerprint, v blame.Verdict) { c.executor.ApplyVerdict(f, v) },
 	}
 	c.executor = &executor.Executor{
 		Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, ColdRate: c.coldRate, Stamp: c.syncer.Stamp, Log: log,
