Send a trial elsewhere than to backend servers that crashed with the request

Cause: its second run was at the backend server that it had crashed before. Two crashes of one backend server do not tell a harmful request from a server that flaps, so the verdict waited for a third.

Evidence: crashes at 5.28 s and 12.13 s beside the same node, the third at 12.58 s beside another.

Change: nodes at which the request was in a crash are asked last.

--- a/internal/node/dispatcher/dispatcher.go
+++ b/internal/node/dispatcher/dispatcher.go
@@ -44,6 +44,8 @@
 type Quarantine interface {
 	// Verdict returns what is held of a request.
 	Verdict(f fingerprint.Fingerprint) blame.Verdict
+	// CrashedAt returns the nodes beside whose backend servers a request ran when they crashed.
+	CrashedAt(f fingerprint.Fingerprint) []netip.AddrPort
 	// Admit decides whether an attempt may be made, and sets o.Trial if it is a trial. suspected says that
 	// an earlier attempt crashed a backend server, or that a node suspects the request. The error is a
 	// *failure.Failure; if it is nil, end must be called when the attempt has ended.
--- a/internal/node/dispatcher/sender.go
+++ b/internal/node/dispatcher/sender.go
@@ -350,7 +350,7 @@
 				return nil, err
 			}
 			contacted := s.contactedNodes()
-			to, ok := s.dispatcher.pick(&s.request.Order, st, len(contacted) > 0, append(contacted, asked[st.level]...))
+			to, ok := s.dispatcher.pick(&s.request.Order, st, len(contacted) > 0, slices.Concat(contacted, asked[st.level], s.avoided(st.level)))
 			if !ok {
 				break
 			}
@@ -382,6 +382,15 @@
 	return nil, f
 }
 
+// avoided returns the nodes to which a trial is not sent as long as others may run it: those beside
+// backend servers that crashed. A second crash elsewhere tells more.
+func (s *sender) avoided(level order.Level) []netip.AddrPort {
+	if o := &s.request.Order; o.Trial && level != order.Any {
+		return s.dispatcher.Quarantine.CrashedAt(o.Fingerprint)
+	}
+	return nil
+}
+
 func (s *sender) contactedNodes() []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
