Pass on crashes that the super-peer knows already

A node of one data centre did not learn of a crash until gossip told it, up to a second later, so that it would have sent a suspected request without leave.

Cause: a super-peer passed on only what was new to it. If it was also the home of the request, it had been told as the home shortly before, and passed nothing on.

Evidence: TestGuard_Admit, with eight nodes in two data centres, waited in vain for the verdict at one node in one of several runs, and fails on the code before.

Change: what is to be passed on is passed on, known or not; only the node that reports a crash asks for it, so that no loop arises.

--- a/internal/node/quarantine/spread.go
+++ b/internal/node/quarantine/spread.go
@@ -122,8 +122,8 @@
 	return true
 }
 
-// AnswerBlame takes note of events that another node sent, and passes on those that are
-// new if asked to. A message without events asks for those of this node.
+// AnswerBlame takes note of events that another node sent, and passes them on if asked to, also
+// those that this node knows already, as a home. A message without events asks for those of this node.
 func (g *Guard) AnswerBlame(payload []byte) ([]byte, error) {
 	var m peerpb.Blame
 	if err := proto.Unmarshal(payload, &m); err != nil {
@@ -132,8 +132,9 @@
 	if len(m.GetEvents()) == 0 {
 		return proto.Marshal(g.Reply(&m))
 	}
-	if changed := g.merge(&m); m.GetRelay() && len(changed) > 0 {
-		g.spread(changed, dataCentre)
+	g.merge(&m)
+	if m.GetRelay() {
+		g.spread(decode(time.Now(), m.GetEvents()), dataCentre)
 	}
 	return nil, nil
 }
@@ -219,6 +220,6 @@
 	events := g.ledger.Events(now)
 	g.mu.Unlock()
 	if len(events) > 0 {
-		go g.tell(context.Background(), from, events, true)
+		go g.tell(context.Background(), from, events, false)
 	}
 }
