Let operators list and withdraw quarantines

A caller whose request is quarantined is refused at all nodes for at least ten minutes. An operator who has mended the backend servers, or finds that the verdict is wrong, could neither see why nor end it.

Each node lists what it holds, with the crashes that led to it, at the address for metrics, and withdraws it in the whole fleet on request: filbertturn quarantine list and withdraw. Callers are told the problem type urn:filbertturn:problem:quarantined, on the platform too, without Retry-After. Nothing of the request but its fingerprint is shown.

--- a/internal/admin/client/client.go
+++ b/internal/admin/client/client.go
@@ -13,6 +13,8 @@
 
 	"filbertturn.example/filbertturn/internal/admin/message"
 	"filbertturn.example/filbertturn/internal/config/audit"
+	"filbertturn.example/filbertturn/internal/node/quarantine"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 )
 
 // Client calls the administration API of one node. Its methods return a
@@ -89,6 +91,19 @@
 	return r, err
 }
 
+// Quarantine returns the requests that are suspected or quarantined. Address is the node's
+// address for metrics.
+func (c *Client) Quarantine(ctx context.Context) ([]quarantine.Entry, error) {
+	var list []quarantine.Entry
+	err := c.call(ctx, http.MethodGet, quarantine.Path, nil, &list)
+	return list, err
+}
+
+// Withdraw withdraws what is held against a request, at all nodes.
+func (c *Client) Withdraw(ctx context.Context, f fingerprint.Fingerprint) error {
+	return c.call(ctx, http.MethodDelete, quarantine.Path+"/"+f.String(), nil, nil)
+}
+
 // call sends a request with the JSON encoding of in, unless that is nil, and decodes
 // the response into out, unless that is nil.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
--- a/internal/admin/command/command.go
+++ b/internal/admin/command/command.go
@@ -109,7 +109,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &Exit{Code: ExitUsage, Err: err}
 	})
-	root.AddCommand(newNode(), newConfig(), newStatus(), newAudit(), newKey(), newMembers(), newCertificate(), newExplain(), newLosses(), newVersion())
+	root.AddCommand(newNode(), newConfig(), newStatus(), newAudit(), newKey(), newMembers(), newCertificate(), newExplain(), newLosses(), newQuarantine(), newVersion())
 	return root
 }
 
--- a/internal/node/quarantine/guard_test.go
+++ b/internal/node/quarantine/guard_test.go
@@ -205,7 +205,7 @@
 	awaitVerdict(t, fleet[:3], suspect, blame.Suspected)
 	late.setDeaf(false)
 	fleet[0].setDeaf(true)
-	late.Guard.Start(t.Context(), func() bool { return true })
+	late.Start(t.Context(), func() bool { return true })
 	if got := late.Verdict(suspect.Fingerprint); got != blame.Suspected {
 		t.Errorf("got %s after the start, want %s", got, blame.Suspected)
 	}
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -340,7 +340,7 @@
 		{c.settings.CallerAddress, callers},
 		{c.settings.ReadyAddress, c.adapter.ReadyHandler(c.Ready)},
 		{c.settings.HeartbeatAddress, c.adapter.HeartbeatHandler(c.executor)},
-		{c.settings.MetricsAddress, c.metrics},
+		{c.settings.MetricsAddress, c.operatorHandler()},
 	} {
 		if err := c.serveHTTP(l.address, l.handler); err != nil {
 			return err
@@ -359,6 +359,15 @@
 	return nil
 }
 
+// operatorHandler returns the handler of the metrics address.
+func (c *Sidecar) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", c.metrics)
+	mux.Handle(quarantine.Path, c.guard.Handler())
+	mux.Handle(quarantine.Path+"/", c.guard.Handler())
+	return mux
+}
+
 func (c *Sidecar) serveHTTP(a netip.AddrPort, h http.Handler) error {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
@@ -393,6 +402,7 @@
 		}
 		return 0
 	})
+	c.metrics.RegisterGauge("suspected_requests", func() int64 { return int64(len(c.guard.Cases())) })
 	c.metrics.RegisterGauge("peer_sessions", func() int64 { return int64(c.mesh.SessionCount()) })
 	c.metrics.RegisterGauge("peer_sent_bytes", func() int64 { sent, _ := c.mesh.Traffic(); return sent })
 	c.metrics.RegisterGauge("peer_received_bytes", func() int64 { _, received := c.mesh.Traffic(); return received })
--- a/internal/request/kind/kind.go
+++ b/internal/request/kind/kind.go
@@ -65,6 +65,12 @@
 	Title     string // One sentence for the problem document.
 }
 
+// Problem types.
+const (
+	blankType      = "about:blank"                         // Says no more than the status.
+	quarantineType = "urn:filbertturn:problem:quarantined" // The request is held back for good.
+)
+
 var table = [count]Response{
 	Internal:                 {"Internal", http.StatusInternalServerError, Unknown, false, "The node failed while it handled the request."},
 	MalformedRequest:         {"MalformedRequest", http.StatusBadRequest, NotRun, false, "The request is malformed."},
@@ -99,6 +105,16 @@
 	LapsedAuthority:          {"LapsedAuthority", http.StatusServiceUnavailable, Unknown, false, "The node ceased to be current while the request was under way."},
 }
 
+// Type returns the problem type of k as in RFC 9457.
+func (k Kind) Type() string {
+	switch k {
+	case Quarantined, QuarantinedDuringRun:
+		return quarantineType
+	default:
+		return blankType
+	}
+}
+
 // Response returns the response for k. Kinds that this release does not know map to
 // Internal.
 func (k Kind) Response() Response {
--- a/internal/request/problem/problem.go
+++ b/internal/request/problem/problem.go
@@ -33,17 +33,30 @@
 	RetryAfter string `json:",omitempty"`
 }
 
+// New returns the document for f.
+func New(f *failure.Failure) Document {
+	a := f.Kind.Response()
+	d := Document{Type: f.Kind.Type(), Title: a.Title, Status: a.Status, Detail: f.Detail, Kind: a.Name, Outcome: a.Outcome}
+	if a.Retryable {
+		d.RetryAfter = retryAfter(f).String()
+	}
+	return d
+}
+
+func retryAfter(f *failure.Failure) time.Duration {
+	if f.RetryAfter <= 0 {
+		return DefaultRetryAfter
+	}
+	return f.RetryAfter
+}
+
 // Write responds to a request with the status, header and problem document for f.
 func Write(w http.ResponseWriter, f *failure.Failure) {
 	a := f.Kind.Response()
-	d := Document{Type: "about:blank", Title: a.Title, Status: a.Status, Detail: f.Detail, Kind: a.Name, Outcome: a.Outcome}
+	d := New(f)
 	h := w.Header()
 	if a.Retryable {
-		wait := f.RetryAfter
-		if wait <= 0 {
-			wait = DefaultRetryAfter
-		}
-		d.RetryAfter = wait.String()
+		wait := retryAfter(f)
 		h.Set(header.RetryAfter, strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
 	}
 	if a.Status == http.StatusUnauthorized {
