Tell crashes of backend servers that are back at once

A request that crashes a backend server whose process is back within milliseconds, or while its node is paused, was not blamed: the check by a further connection finds a server that accepts, and takes the loss for a reset connection.

Cause: evidence of a crash was a refused connection alone.

Evidence: TestExecutor_Heartbeat_crashUnseen fails on the code before.

Change: runs that lost their connection are remembered until the incarnation answers a later request, or for 10 s. If a new incarnation appears and the earlier one had not left, they are blamed for its end. Reset connections, answers that follow, planned stops and late heartbeats are in the test, and count as none. The body of the executor's crash handling is split into files by matter.

--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -11,12 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
-	"filbertturn.example/filbertturn/internal/backend/scheduler"
+	"filbertturn.example/filbertturn/internal/backend/incarnation"
 	"filbertturn.example/filbertturn/internal/health/blame"
-	"filbertturn.example/filbertturn/internal/peer/transport"
-	"filbertturn.example/filbertturn/internal/request/failure"
-	"filbertturn.example/filbertturn/internal/request/fingerprint"
-	"filbertturn.example/filbertturn/internal/request/order"
 )
 
 const (
@@ -28,6 +25,13 @@
 	// wait that ran.
 	crashReportTimeout = 300 * time.Millisecond
 
+	// restartTimeout is the time within which a crashed backend server announces its next
+	// incarnation.
+	restartTimeout = 10 * time.Second
+
+	// maxLost bounds the runs that lost their connections and are remembered.
+	maxLost = 64
+
 	// maxFinishedBody bounds the rest of a body, in bytes, that is read after a crash.
 	maxFinishedBody = 16 << 20
 
@@ -82,6 +86,66 @@
 	return c.crashed
 }
 
+// lostRun is a run that lost its connection although the backend server accepts further
+// ones.
+type lostRun struct {
+	request blame.Request
+	id      string
+	at      time.Time
+}
+
+// recordLost records a run that lost its connection. If the backend server has crashed and is back
+// already, the next incarnation tells.
+func (ex *Executor) recordLost(x *execution) {
+	r := x.request()
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if x.client == ex.client && len(ex.lost) < maxLost {
+		ex.lost = append(ex.lost, lostRun{request: r, id: x.order.ID, at: time.Now()})
+	}
+}
+
+// takeLost returns the runs that were lost shortly before a new incarnation appeared, and forgets
+// them. ex.mu must be held.
+func (ex *Executor) takeLost(now time.Time, effect incarnation.Effect) []lostRun {
+	if _, ok := effect.(incarnation.Discovered); !ok {
+		return nil
+	}
+	lost := ex.lost
+	ex.lost = nil
+	return slices.DeleteFunc(lost, func(l lostRun) bool { return now.Sub(l.at) > restartTimeout })
+}
+
+// reportUnseenCrash blames the end of an incarnation on the runs that lost their connections and
+// were not followed by a response.
+func (ex *Executor) reportUnseenCrash(a incarnation.Announcement, lost []lostRun) {
+	list := zerolog.Arr()
+	requests := make([]blame.Request, 0, len(lost))
+	for _, l := range lost {
+		requests = append(requests, l.request)
+		list.Dict(zerolog.Dict().Str("RequestID", l.id).Stringer("Fingerprint", l.request.Fingerprint).Dur("Ago", time.Since(l.at)))
+	}
+	ex.Log.Warn().Str("Instance", a.InstanceID).Str("Service", a.Service).Array("Requests", list).
+		Msg("backend server crashed, as its next incarnation shows")
+	if ex.Quarantine == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	ex.Quarantine.ReportCrash(ctx, a.Service, requests)
+}
+
+// request describes the request for the blame of a crash.
+func (x *execution) request() blame.Request {
+	f, length := x.fingerprint()
+	r := blame.Request{Fingerprint: f, BodyBytes: length}
+	if length > 0 {
+		o := x.order
+		r.Head = x.executor.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer).Sum()
+	}
+	return r
+}
+
 // reportCrash blames a crash on the requests that ran. It returns once the nodes know that
 // let them run again.
 func (ex *Executor) reportCrash(x *execution, suspects []*execution) {
@@ -94,13 +158,7 @@
 	}
 	requests := make([]blame.Request, 0, len(suspects))
 	for _, s := range suspects {
-		f, length := s.fingerprint()
-		r := blame.Request{Fingerprint: f, BodyBytes: length}
-		if length > 0 {
-			o := s.order
-			r.Head = ex.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer).Sum()
-		}
-		requests = append(requests, r)
+		requests = append(requests, s.request())
 	}
 	ex.Quarantine.ReportCrash(ctx, x.order.Service, requests)
 }
@@ -113,8 +171,8 @@
 		defer close(done)
 		var wg sync.WaitGroup
 		for _, x := range list {
-			if x.body != nil {
-				wg.Go(func() { _, _ = io.CopyN(io.Discard, x.body, maxFinishedBody) })
+			if body := x.identified(); body != nil {
+				wg.Go(func() { _, _ = io.CopyN(io.Discard, body, maxFinishedBody) })
 			}
 		}
 		wg.Wait()
@@ -125,76 +183,6 @@
 	}
 }
 
-// verdict returns what is held of a request.
-func (ex *Executor) verdict(f fingerprint.Fingerprint) blame.Verdict {
-	if ex.Quarantine == nil || f.IsZero() {
-		return blame.Clear
-	}
-	return ex.Quarantine.Verdict(f)
-}
-
-// judge returns the refusal of a request that is quarantined, or suspected and sent without
-// a trial.
-func (ex *Executor) judge(o *order.Order) (transport.Verdict, bool) {
-	switch ex.verdict(o.Fingerprint) {
-	case blame.Quarantined:
-		return transport.Verdict{Decision: transport.Quarantined}, true
-	case blame.Suspected:
-		return transport.Verdict{Decision: transport.Suspected}, !o.Trial
-	default:
-		return transport.Verdict{}, false
-	}
-}
-
-// screen refuses a request that may crash the backend server before it waits for a slot.
-func (ex *Executor) screen(o *order.Order) (transport.Verdict, bool) {
-	v, refused := ex.judge(o)
-	if !refused {
-		return v, false
-	}
-	v.Load, v.Stamp = ex.Load(time.Now()), ex.Stamp(time.Now())
-	ex.Log.Info().Str("RequestID", o.ID).Stringer("Fingerprint", o.Fingerprint).Stringer("Kind", failure.From(v.Failure()).Kind).
-		Msg("request refused by the node beside the backend server: it may crash it")
-	return v, true
-}
-
-// runsTrial reports whether a suspected request runs or waits, so that a crash tells which
-// of two is guilty. ex.mu must be held.
-func (ex *Executor) runsTrial() bool {
-	for _, o := range ex.orders {
-		if o.Trial {
-			return true
-		}
-	}
-	return false
-}
-
-// ApplyVerdict applies a verdict to the copies of a request that are here: those that wait are refused, unless
-// they may run as a trial, and those of a quarantined request that run are ended.
-func (ex *Executor) ApplyVerdict(f fingerprint.Fingerprint, v blame.Verdict) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	for id, o := range ex.orders {
-		x := ex.running[id]
-		switch {
-		case o.Fingerprint != f || v == blame.Suspected && o.Trial:
-		case x == nil:
-			ex.deliverDecision(id, scheduler.Refuse{ID: id})
-		case v == blame.Quarantined && x.stop != nil:
-			x.stop(errQuarantined)
-		}
-	}
-}
-
-// stoppable returns the context of the run, which StopRequests ends.
-func (x *execution) stoppable(ctx context.Context) context.Context {
-	ctx, stop := context.WithCancelCause(ctx)
-	x.executor.mu.Lock()
-	defer x.executor.mu.Unlock()
-	x.stop = stop
-	return ctx
-}
-
 // runningWith returns the requests that hold a slot and use the client. ex.mu must be held.
 func (ex *Executor) runningWith(client *exchange.Client) []*execution {
 	var list []*execution
@@ -216,57 +204,3 @@
 	}
 	ex.Log.Warn().Str("Instance", x.instance).Str("Service", x.order.Service).Array("Requests", list).Msg("backend server crashed")
 }
-
-// identify returns a reader of the body that computes the fingerprint of the request, unless
-// it is known.
-func (x *execution) identify(body io.Reader) io.Reader {
-	if body == nil || !x.order.Fingerprint.IsZero() {
-		return body
-	}
-	o := x.order
-	b := &identifiedBody{source: body, digest: x.executor.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer)}
-	x.executor.mu.Lock()
-	x.body = b
-	x.executor.mu.Unlock()
-	return b
-}
-
-// fingerprint returns the fingerprint of the request and the length of its body, or the zero value while the body
-// has not been read to its end.
-func (x *execution) fingerprint() (fingerprint.Fingerprint, int64) {
-	if x.body != nil {
-		return x.body.sum()
-	}
-	return x.order.Fingerprint, max(x.order.ContentLength, 0)
-}
-
-// identifiedBody computes the fingerprint of a request while its body is read.
-type identifiedBody struct {
-	reading sync.Mutex // Held during a read, so that parts are not mixed up.
-	source  io.Reader
-
-	mu     sync.Mutex // Guards the fields below: a crash is examined while the body is read.
-	digest *fingerprint.Digest
-	ended  bool
-}
-
-// Read implements io.Reader.
-func (b *identifiedBody) Read(p []byte) (int, error) {
-	b.reading.Lock()
-	defer b.reading.Unlock()
-	n, err := b.source.Read(p)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	_, _ = b.digest.Write(p[:n])
-	b.ended = b.ended || errors.Is(err, io.EOF)
-	return n, err
-}
-
-func (b *identifiedBody) sum() (fingerprint.Fingerprint, int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.ended {
-		return fingerprint.Fingerprint{}, b.digest.Length()
-	}
-	return b.digest.Sum(), b.digest.Length()
-}
--- a/internal/node/executor/crash_test.go
+++ b/internal/node/executor/crash_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +43,13 @@
 	q.crashes = append(q.crashes, running)
 }
 
+// reported returns the crashes reported so far.
+func (q *fakeQuarantine) reported() [][]blame.Request {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Clone(q.crashes)
+}
+
 func (q *fakeQuarantine) ReportGoodEnd(f fingerprint.Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -249,6 +257,49 @@
 	}
 }
 
+// TestExecutor_Heartbeat_crashUnseen checks what counts as a crash if further connections were not refused, because
+// the backend server was back at once, or the node was paused meanwhile: the next incarnation tells, unless the
+// earlier one answered again or left.
+func TestExecutor_Heartbeat_crashUnseen(t *testing.T) {
+	closeOn1 := func(_ *fragileServer, conn net.Conn, target string) {
+		if target == "/1" {
+			_ = conn.Close()
+			return
+		}
+		answer(conn)
+	}
+	tests := []struct {
+		desc          string
+		answers, left bool
+		born          time.Time
+		want          int
+	}{
+		{"next incarnation", false, false, time.Now(), 1},
+		{"the incarnation answered again", true, false, time.Now(), 0},
+		{"it left before", false, true, time.Now(), 0},
+		{"late heartbeat of an earlier one", false, false, time.UnixMilli(0), 0},
+	}
+	for _, tt := range tests {
+		ex, q := newFragileExecutor(t, startFragile(t, closeOn1))
+		if f := failure.From(run(t, ex, newOrder("/1", 1), nil)); f.Kind != kind.BrokenAnswer {
+			t.Errorf("%s: got %s, want %s", tt.desc, f.Kind, kind.BrokenAnswer)
+		}
+		if tt.answers {
+			_ = run(t, ex, newOrder("/2", 2), nil)
+		}
+		if tt.left {
+			ex.Deregister("i-1", time.UnixMilli(1))
+		}
+		ex.Heartbeat(incarnation.Announcement{InstanceID: "i-2", StartedAt: tt.born, Sequence: 1, Service: "s", Address: ex.Address, Slots: 3})
+		for deadline := time.Now().Add(time.Second); len(q.reported()) < tt.want && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		if got := q.reported(); len(got) != tt.want || tt.want == 1 && got[0][0].Fingerprint != (fingerprint.Fingerprint{1}) {
+			t.Errorf("%s: got crashes %v, want %d", tt.desc, got, tt.want)
+		}
+	}
+}
+
 // TestExecutor_ApplyVerdict checks that copies of a request that wait are refused once it is suspected, but
 // for a trial, and that those that run are ended once it is quarantined.
 func TestExecutor_ApplyVerdict(t *testing.T) {
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -90,7 +90,9 @@
 	if err == nil {
 		response, err = x.bufferResponse(response)
 	} else if isDisconnect(err) {
-		crashed = x.executor.checkCrash(x)
+		if crashed = x.executor.checkCrash(x); !crashed {
+			x.executor.recordLost(x)
+		}
 	}
 	if err != nil {
 		f := failure.From(err)
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -81,6 +81,7 @@
 	orders    map[uint64]*order.Order          // Requests that run or wait, by identifier.
 	running   map[uint64]*execution            // Requests that hold a slot, by identifier.
 	check     *crashCheck                      // The latest one; nil if there was none.
+	lost      []lostRun                        // Runs that lost their connection, with no response to a later one.
 	timer     *time.Timer
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
 	lastID    uint64    // Identifier of the latest request.
@@ -97,10 +98,15 @@
 	}
 	a.ReceivedAt = time.Now()
 	ex.mu.Lock()
+	earlier, wasServing := ex.tracker.Serving()
 	effect := ex.tracker.Heartbeat(a)
+	lost := ex.takeLost(a.ReceivedAt, effect)
 	ex.apply(effect)
 	ex.setCold(effect)
 	ex.mu.Unlock()
+	if wasServing && len(lost) > 0 {
+		go ex.reportUnseenCrash(earlier, lost)
+	}
 	ex.notify(effect)
 }
 
--- a/internal/node/executor/response.go
+++ b/internal/node/executor/response.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
@@ -17,6 +18,7 @@
 		ex.mu.Unlock()
 		return
 	}
+	ex.lost = slices.DeleteFunc(ex.lost, func(l lostRun) bool { return sent.After(l.at) })
 	ex.observeLimit(sent, r)
 	var effect incarnation.Effect
 	if r.Leaving {
