Keep the key of fingerprints in the store

Cause: the key was derived from the store's address in a node's settings.

Change: the first node that needs it draws the key and creates it in the store; others get it from their super-peer or another neighbour, which also serves while the store is away (node/fleetkey). The store's client learns to create a key that must not exist.

--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -104,11 +104,14 @@
 	Limiter   Limiter
 	Forwarder Forwarder
 	Recorder  Recorder
-	Suspects  Suspects        // Nil if there are none.
-	Key       fingerprint.Key // Keys the fingerprints of requests.
-	Closing   func() bool     // Reports whether callers must open new connections to other nodes.
+	Suspects  Suspects    // Nil if there are none.
+	Closing   func() bool // Reports whether callers must open new connections to other nodes.
 	Log       zerolog.Logger
 
+	// Identify returns the digest of a request without its body, or nil if requests cannot
+	// be identified.
+	Identify func(method, host, target, customer string) *fingerprint.Digest
+
 	held atomic.Int64 // Bytes that may be held of bodies that are read before they are sent.
 
 	// Configuration returns the configuration, or nil if there is none and none arrives
@@ -173,7 +176,10 @@
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	i.buildRequest(rs)
 	o := &rs.request.Order
-	digest := i.Key.Start(o.Method, o.Host, o.Target, o.Customer)
+	var digest *fingerprint.Digest
+	if i.Identify != nil {
+		digest = i.Identify(o.Method, o.Host, o.Target, o.Customer)
+	}
 	limit, err := i.bodyLimit(rs, digest)
 	if err == nil {
 		err = rs.bufferBody(limit, digest)
--- a/internal/node/kvstore/kvstore.go
+++ b/internal/node/kvstore/kvstore.go
@@ -41,6 +41,9 @@
 	List(ctx context.Context, prefix string, stale bool) (Result, error)
 	// Put writes a key under a lease. It returns ErrLeaseNotFound if the lease has expired.
 	Put(ctx context.Context, key string, value []byte, leaseID int64) error
+	// Create writes a key that does not exist, without a lease. It returns ErrConflict if the
+	// key exists.
+	Create(ctx context.Context, key string, value []byte) error
 	// Delete deletes a key.
 	Delete(ctx context.Context, key string) error
 	// Grant creates a lease that expires after ttl unless it is renewed.
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
 	"filbertturn.example/filbertturn/internal/node/evacuation"
 	"filbertturn.example/filbertturn/internal/node/executor"
+	"filbertturn.example/filbertturn/internal/node/fleetkey"
 	"filbertturn.example/filbertturn/internal/node/gossip"
 	"filbertturn.example/filbertturn/internal/node/ingress"
 	"filbertturn.example/filbertturn/internal/node/kvstore"
@@ -89,7 +90,6 @@
 	RetryRatio        float64       // Retries per request of a service, over all nodes.
 	RetryReserve      float64       // Retries of a service in a window beyond the ratio, over all nodes.
 	RetryWindow       time.Duration
-	Fleet             string  // What all nodes of the fleet share, and no other has.
 	Cores             float64 // CPU cores that the VM may use; zero if unknown.
 	LinkBandwidth     float64 // Bandwidth of the VM's link, in Mbit/s; zero if unknown.
 }
@@ -125,6 +125,7 @@
 	gossiper      *gossip.Gossiper
 	quotaEnforcer *quotas.Enforcer
 	retryBudget   *retrybudget.Budget
+	fleetKey      *fleetkey.Keeper
 	guard         *quarantine.Guard
 	evacuation    *evacuation.Watcher // Nil if data centres are not evacuated.
 	metrics       *metrics.Metrics
@@ -140,6 +141,7 @@
 	c := &Sidecar{settings: s, adapter: adapter, log: log, metrics: metrics.New(), serveErrors: make(chan error, 1)}
 	c.mesh = link.New(nil, nil, c)
 	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, Self: s.PeerAddress}
+	c.fleetKey = &fleetkey.Keeper{Self: s.PeerAddress, Store: adapter.Store, Mesh: c.mesh, Log: log}
 	c.guard = &quarantine.Guard{
 		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Log: log, Count: c.metrics.IncrementCounter,
 		InService: func(service string) int { return c.dispatcher.InService(service) },
@@ -147,7 +149,7 @@
 	}
 	c.executor = &executor.Executor{
 		Address: s.BackendAddress, Dialect: adapter.Dialect, HealthPath: c.healthPath, ColdRate: c.coldRate, Stamp: c.syncer.Stamp, Log: log,
-		Fingerprints: fingerprint.NewKey(s.Fleet), Quarantine: c.guard,
+		Identify: c.fleetKey.Start, Quarantine: c.guard,
 	}
 	c.discovery = &discovery.Discovery{
 		Self: nodetable.Record{
@@ -156,6 +158,7 @@
 		},
 		Store: adapter.Store, Mesh: c.mesh, Load: c.executor.Load, Log: log, OnNodeAdded: c.addNode, OnPresence: c.updateNode, OnNodeRemoved: c.removeNode,
 	}
+	c.fleetKey.Neighbours, c.fleetKey.Joined = c.discovery.Neighbours, c.discovery.Joined
 	c.guard.Homes, c.guard.Nodes = c.discovery.Homes, c.discovery.ActiveByDataCentre
 	c.syncer.Neighbours, c.syncer.Joined = c.discovery.Neighbours, c.discovery.Joined
 	c.retryBudget = &retrybudget.Budget{Self: s.PeerAddress, Mesh: c.mesh, Homes: c.discovery.Homes, Limits: c.retryLimits, Log: log}
@@ -266,6 +269,8 @@
 		return nil, errors.New("data centres are not evacuated")
 	case question.Blame:
 		return c.guard.AnswerBlame(payload)
+	case question.FleetKey:
+		return c.fleetKey.Answer()
 	case question.Trial:
 		return c.guard.AnswerTrial(time.Now(), payload)
 	case question.Loads:
@@ -304,6 +309,7 @@
 	}
 	c.discovery.Start(ctx, &c.timers)
 	c.gossiper.Start(ctx, &c.timers)
+	go c.fleetKey.Run(ctx)
 	go c.guard.Start(ctx, c.discovery.Joined)
 	c.timers.Subscribe(idleCheckInterval, func(t timer.Tick) { c.mesh.CloseIdle(t.Now) })
 	c.log.Info().Str("Name", c.settings.Name).Str("DataCentre", c.settings.DataCentre).Str("Service", c.settings.Service).
@@ -330,7 +336,7 @@
 	callers := &ingress.Ingress{
 		Service: c.settings.Service, Dialect: c.adapter.Dialect, Configuration: c.syncer.Await, Limiter: c.quotaEnforcer,
 		Forwarder: c.dispatcher, Recorder: c, Closing: c.closing.Load, Log: c.log, StartCall: c.executor.StartCall,
-		Key: fingerprint.NewKey(c.settings.Fleet), Suspects: c.guard,
+		Identify: c.fleetKey.Start, Suspects: c.guard,
 	}
 	c.registerGauges()
 	for _, l := range []struct {
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -24,4 +24,5 @@
 	Evacuation                       // Whether the data centre is evacuated, as the peer knows it.
 	Blame                            // Crashes of backend servers and the requests that ran there.
 	Trial                            // Whether a suspected request may run, or that its run has ended.
+	FleetKey                         // Key of the fingerprints of requests.
 )
--- a/internal/request/fingerprint/fingerprint.go
+++ b/internal/request/fingerprint/fingerprint.go
@@ -13,6 +13,9 @@
 	"strings"
 )
 
+// KeySize is the length of a key in bytes.
+const KeySize = 32
+
 // headSize is the room, in bytes, for the usual fields of a request but the body.
 const headSize = 256
 
@@ -53,12 +56,7 @@
 
 // Key keys the digests. All nodes of a fleet have the same one. Without it, a fingerprint
 // in a log does not reveal a request by a comparison with guessed ones.
-type Key [sha256.Size]byte
-
-// NewKey derives the key of a fleet from text that its nodes share.
-func NewKey(shared string) Key {
-	return sha256.Sum256([]byte("filbertturn request fingerprint\x00" + shared))
-}
+type Key [KeySize]byte
 
 // Start returns the digest of a request without its body, to which the body is written.
 func (k Key) Start(method, host, target, customer string) *Digest {
@@ -76,7 +74,8 @@
 	return d
 }
 
-// Digest computes the fingerprint of one request. It is not safe for concurrent use.
+// Digest computes the fingerprint of one request. It is not safe for concurrent use. A nil digest
+// stands for a key that is not known: its fingerprint is the zero value.
 type Digest struct {
 	mac    hash.Hash
 	length int64
@@ -84,18 +83,27 @@
 
 // Write adds a part of the body. It never fails.
 func (d *Digest) Write(p []byte) (int, error) {
+	if d == nil {
+		return len(p), nil
+	}
 	d.length += int64(len(p))
 	return d.mac.Write(p)
 }
 
 // Length returns the number of bytes of the body so far.
 func (d *Digest) Length() int64 {
+	if d == nil {
+		return 0
+	}
 	return d.length
 }
 
 // Sum returns the fingerprint of the request with the body so far. More may be written
 // afterwards.
 func (d *Digest) Sum() Fingerprint {
+	if d == nil {
+		return Fingerprint{}
+	}
 	var buf [sha256.Size]byte
 	return Fingerprint(d.mac.Sum(buf[:0])[:Size])
 }
--- a/internal/request/fingerprint/fingerprint_test.go
+++ b/internal/request/fingerprint/fingerprint_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestKey_Start(t *testing.T) {
-	k := fingerprint.NewKey("fleet")
+	k := fingerprint.Key{1}
 	base := request{"POST", "h.example", "/a/b?c=1", "sfax", "body"}
 	tests := []struct {
 		desc string
@@ -40,7 +40,7 @@
 		{"longer body", k, request{"POST", "h.example", "/a/b?c=1", "sfax", "body2"}, false},
 		{"body moved into the customer", k, request{"POST", "h.example", "/a/b?c=1", "sfaxbody", ""}, false},
 		{"target moved into the customer", k, request{"POST", "h.example", "/a/b", "?c=1sfax", "body"}, false},
-		{"other fleet", fingerprint.NewKey("other"), base, false},
+		{"other fleet", fingerprint.Key{2}, base, false},
 	}
 	for _, tt := range tests {
 		if got := tt.r.sum(tt.key) == base.sum(k); got != tt.want {
@@ -53,7 +53,7 @@
 // parts, nor on sums taken in between.
 func TestDigest_Write(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := fingerprint.NewKey("fleet")
+		k := fingerprint.Key{1}
 		body := rapid.SliceOf(rapid.Byte()).Draw(t, "body")
 		d := k.Start("POST", "h", "/", "c")
 		for rest := body; len(rest) > 0; {
@@ -70,7 +70,7 @@
 }
 
 func TestParse(t *testing.T) {
-	want := fingerprint.NewKey("f").Start("GET", "h", "/", "").Sum()
+	want := fingerprint.Key{1}.Start("GET", "h", "/", "").Sum()
 	if got, ok := fingerprint.Parse(want.String()); !ok || got != want || fingerprint.FromBytes(want[:]) != want {
 		t.Errorf("got %s, %t, want %s", got, ok, want)
 	}
@@ -85,7 +85,7 @@
 }
 
 func BenchmarkDigest(b *testing.B) {
-	k := fingerprint.NewKey("fleet")
+	k := fingerprint.Key{1}
 	for _, size := range []int{0, 1 << 10, 64 << 10, 10 << 20} {
 		body := bytes.Repeat([]byte("x"), size)
 		b.Run(fmt.Sprintf("%d bytes", size), func(b *testing.B) {
