Count a crash whose next incarnation rejects a request first

In the soak, a request crashed the backend server beside one node eight times without a suspicion.

Cause: the next incarnation had rejected a request for the earlier one before it announced itself. That took the earlier one out of service, and the loss of connections was then taken for that of a planned stop.

TestExecutor_Heartbeat_crashUnseen has the case and failed.

Change: only a stop that was announced, by heartbeat, deregistration or response, excuses lost connections.

--- a/internal/node/executor/body.go
+++ b/internal/node/executor/body.go
@@ -15,7 +15,7 @@
 		return body
 	}
 	o := x.order
-	b := &identifiedBody{source: body, digest: x.executor.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer)}
+	b := &identifiedBody{source: body, digest: x.executor.Identify(o.Method, o.Host, o.Target, o.Customer)}
 	x.executor.mu.Lock()
 	x.body = b
 	x.executor.mu.Unlock()
--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -100,7 +100,7 @@
 	r := x.request()
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	if x.client == ex.client && len(ex.lost) < maxLost {
+	if _, serving := ex.tracker.Serving(); serving && x.client == ex.client && len(ex.lost) < maxLost {
 		ex.lost = append(ex.lost, lostRun{request: r, id: x.order.ID, at: time.Now()})
 	}
 }
@@ -141,7 +141,7 @@
 	r := blame.Request{Fingerprint: f, BodyBytes: length}
 	if length > 0 {
 		o := x.order
-		r.Head = x.executor.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer).Sum()
+		r.Head = x.executor.Identify(o.Method, o.Host, o.Target, o.Customer).Sum()
 	}
 	return r
 }
--- a/internal/node/executor/crash_test.go
+++ b/internal/node/executor/crash_test.go
@@ -127,7 +127,7 @@
 	t.Helper()
 	q := &fakeQuarantine{verdicts: make(map[fingerprint.Fingerprint]blame.Verdict)}
 	ex := newExecutor(netip.MustParseAddrPort(s.listener.Addr().String()), &logBuffer{})
-	ex.Quarantine, ex.Fingerprints = q, fingerprint.NewKey("f")
+	ex.Quarantine = q
 	startServing(t, ex)
 	return ex, q
 }
@@ -224,7 +224,7 @@
 		if err := run(t, ex, o, strings.NewReader(body)); failure.From(err).Kind != kind.CrashedBackendServer {
 			t.Errorf("%s: got %v, want a crash", target, err)
 		}
-		d := ex.Fingerprints.Start(o.Method, o.Host, o.Target, o.Customer)
+		d := ex.Identify(o.Method, o.Host, o.Target, o.Customer)
 		want := blame.Request{Head: d.Sum(), BodyBytes: int64(len(body))}
 		_, _ = io.WriteString(d, body)
 		want.Fingerprint = d.Sum()
@@ -262,30 +262,35 @@
 // earlier one answered again or left.
 func TestExecutor_Heartbeat_crashUnseen(t *testing.T) {
 	closeOn1 := func(_ *fragileServer, conn net.Conn, target string) {
-		if target == "/1" {
+		switch target {
+		case "/1":
 			_ = conn.Close()
-			return
+		case "/3":
+			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		default:
+			answer(conn)
 		}
-		answer(conn)
 	}
 	tests := []struct {
-		desc          string
-		answers, left bool
-		born          time.Time
-		want          int
+		desc  string
+		later string // Target of a later request; empty for none.
+		left  bool
+		born  time.Time
+		want  int
 	}{
-		{"next incarnation", false, false, time.Now(), 1},
-		{"the incarnation answered again", true, false, time.Now(), 0},
-		{"it left before", false, true, time.Now(), 0},
-		{"late heartbeat of an earlier one", false, false, time.UnixMilli(0), 0},
+		{"next incarnation", "", false, time.Now(), 1},
+		{"next incarnation, which rejected a request for the earlier one", "/3", false, time.Now(), 1},
+		{"the incarnation answered again", "/2", false, time.Now(), 0},
+		{"it left before", "", true, time.Now(), 0},
+		{"late heartbeat of an earlier one", "", false, time.UnixMilli(0), 0},
 	}
 	for _, tt := range tests {
 		ex, q := newFragileExecutor(t, startFragile(t, closeOn1))
 		if f := failure.From(run(t, ex, newOrder("/1", 1), nil)); f.Kind != kind.BrokenAnswer {
 			t.Errorf("%s: got %s, want %s", tt.desc, f.Kind, kind.BrokenAnswer)
 		}
-		if tt.answers {
-			_ = run(t, ex, newOrder("/2", 2), nil)
+		if tt.later != "" {
+			_ = run(t, ex, newOrder(tt.later, 2), nil)
 		}
 		if tt.left {
 			ex.Deregister("i-1", time.UnixMilli(1))
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -64,8 +64,9 @@
 	// Quarantine holds the requests that crash backend servers; nil if none is known.
 	Quarantine Quarantine
 
-	// Fingerprints keys the fingerprints of requests whose body is read while they run.
-	Fingerprints fingerprint.Key
+	// Identify returns the digest of a request without its body, or nil if requests cannot
+	// be identified.
+	Identify func(method, host, target, customer string) *fingerprint.Digest
 
 	// OnServingChange is called after the backend server came into or went out of
 	// service.
@@ -98,13 +99,13 @@
 	}
 	a.ReceivedAt = time.Now()
 	ex.mu.Lock()
-	earlier, wasServing := ex.tracker.Serving()
+	earlier := ex.tracker.Current()
 	effect := ex.tracker.Heartbeat(a)
 	lost := ex.takeLost(a.ReceivedAt, effect)
 	ex.apply(effect)
 	ex.setCold(effect)
 	ex.mu.Unlock()
-	if wasServing && len(lost) > 0 {
+	if len(lost) > 0 {
 		go ex.reportUnseenCrash(earlier, lost)
 	}
 	ex.notify(effect)
@@ -147,6 +148,8 @@
 		ex.scheduler.Reset(time.Now())
 		ex.resetClient()
 	case incarnation.Removed:
+		// Connections that a planned stop ends say nothing of the requests.
+		ex.lost = nil
 		ex.deliver(ex.scheduler.Close(time.Now()))
 	case incarnation.Updated, incarnation.Ignored:
 	}
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -24,6 +24,7 @@
 	"filbertturn.example/filbertturn/internal/peer/transport"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/fingerprint"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
 
@@ -38,7 +39,7 @@
 	h.Set("Request-ID", m.ID)
 }
 func (fakeDialect) ReadResponse(status int, h http.Header) (a dialect.BackendResponse) {
-	a = dialect.BackendResponse{NotRun: status == http.StatusTooManyRequests, ID: h.Get("Request-ID"), InstanceID: "i-1"}
+	a = dialect.BackendResponse{NotRun: status == http.StatusTooManyRequests, Misdirected: status == http.StatusMisdirectedRequest, ID: h.Get("Request-ID"), InstanceID: "i-1"}
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit = dialect.RequestLimit{Named: true, PerSecond: rate}
 	}
@@ -79,7 +80,7 @@
 	return &executor.Executor{
 		Address: address, Dialect: fakeDialect{}, HealthPath: func(string) string { return "/healthz" }, Log: zerolog.New(l),
 		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, OnServingChange: func() {},
-		ColdRate: func(string) float64 { return 10 },
+		ColdRate: func(string) float64 { return 10 }, Identify: fingerprint.Key{1}.Start,
 	}
 }
 
