Hold a suspected request back when its trial lost its connection

Cause: a trial that lost its connection, without a refused one to show a crash, counted as ended. The fleet repeated it, or the next copy ran, before the next incarnation told that the backend server had crashed.

Change: such a trial is not repeated, and its home lets no other run begin until the deadline of the request. TestDispatcher_Forward_quarantine has both cases and failed before.

--- a/internal/node/dispatcher/quarantine_test.go
+++ b/internal/node/dispatcher/quarantine_test.go
@@ -53,18 +53,21 @@
 		wantFirst  int64
 		wantSecond int64
 		wantTrials int
+		wantEnds   int       // Trials whose home may let another run begin.
 		want       kind.Kind // Internal for a response.
 	}{
-		{"clear", fakeQuarantine{}, good, true, 1, 0, 0, kind.Internal},
-		{"quarantined", fakeQuarantine{verdict: blame.Quarantined}, good, true, 0, 0, 0, kind.Quarantined},
-		{"suspected", fakeQuarantine{verdict: blame.Suspected}, good, true, 1, 0, 1, kind.Internal},
-		{"suspected, another run takes place", fakeQuarantine{verdict: blame.Suspected, refusal: kind.Suspected}, good, true, 0, 0, 0, kind.Suspected},
-		{"crash, idempotent", fakeQuarantine{}, crash, true, 1, 1, 1, kind.Internal},
-		{"crash, runs once", fakeQuarantine{}, crash, false, 1, 0, 0, crash},
-		{"crash, the repeat is quarantined", fakeQuarantine{refusal: kind.Quarantined}, crash, true, 1, 0, 0, crash},
-		{"crash, another run takes place", fakeQuarantine{refusal: kind.Suspected}, crash, true, 1, 0, 0, crash},
-		{"unknown here, suspected by the owner", fakeQuarantine{}, kind.Suspected, true, 1, 1, 1, kind.Internal},
-		{"quarantined by the owner", fakeQuarantine{}, kind.Quarantined, true, 1, 0, 0, kind.Quarantined},
+		{"clear", fakeQuarantine{}, good, true, 1, 0, 0, 0, kind.Internal},
+		{"quarantined", fakeQuarantine{verdict: blame.Quarantined}, good, true, 0, 0, 0, 0, kind.Quarantined},
+		{"suspected", fakeQuarantine{verdict: blame.Suspected}, good, true, 1, 0, 1, 1, kind.Internal},
+		{"suspected, another run takes place", fakeQuarantine{verdict: blame.Suspected, refusal: kind.Suspected}, good, true, 0, 0, 0, 0, kind.Suspected},
+		{"crash, idempotent", fakeQuarantine{}, crash, true, 1, 1, 1, 1, kind.Internal},
+		{"crash, runs once", fakeQuarantine{}, crash, false, 1, 0, 0, 0, crash},
+		{"crash, the repeat is quarantined", fakeQuarantine{refusal: kind.Quarantined}, crash, true, 1, 0, 0, 0, crash},
+		{"crash, another run takes place", fakeQuarantine{refusal: kind.Suspected}, crash, true, 1, 0, 0, 0, crash},
+		{"suspected, the connection is lost", fakeQuarantine{verdict: blame.Suspected}, kind.BrokenAnswer, true, 1, 0, 1, 0, kind.BrokenAnswer},
+		{"suspected, the peer is lost", fakeQuarantine{verdict: blame.Suspected}, kind.LostPeer, true, 1, 0, 1, 0, kind.LostPeer},
+		{"unknown here, suspected by the owner", fakeQuarantine{}, kind.Suspected, true, 1, 1, 1, 1, kind.Internal},
+		{"quarantined by the owner", fakeQuarantine{}, kind.Quarantined, true, 1, 0, 0, 0, kind.Quarantined},
 	}
 	for _, tt := range tests {
 		first, second := &fakeOwner{status: 200, kind: tt.first}, &fakeOwner{status: 200}
@@ -85,8 +88,8 @@
 		if a, b := first.runs.Load(), second.runs.Load(); a != tt.wantFirst || b != tt.wantSecond {
 			t.Errorf("%s: got %d and %d runs, want %d and %d", tt.desc, a, b, tt.wantFirst, tt.wantSecond)
 		}
-		if q := tt.quarantine; q.trials != tt.wantTrials || q.ended != tt.wantTrials {
-			t.Errorf("%s: got %d trials, of which %d ended, want %d", tt.desc, q.trials, q.ended, tt.wantTrials)
+		if q := tt.quarantine; q.trials != tt.wantTrials || q.ended != tt.wantEnds {
+			t.Errorf("%s: got %d trials, of which %d ended, want %d and %d", tt.desc, q.trials, q.ended, tt.wantTrials, tt.wantEnds)
 		}
 		if f := failure.From(err); got == kind.Quarantined && f.RetryAfter != 0 {
 			t.Errorf("%s: got the retry delay %s, want none: the refusal is final", tt.desc, f.RetryAfter)
--- a/internal/node/dispatcher/sender.go
+++ b/internal/node/dispatcher/sender.go
@@ -103,7 +103,9 @@
 			return s.finish(last.merge(outcome{err: failure.From(err)}))
 		}
 		next := s.attempt()
-		end()
+		if !s.mayHaveCrashed(next) {
+			end()
+		}
 		last = last.merge(next)
 		if !s.shouldRetry(last) {
 			return s.finish(last)
@@ -111,6 +113,12 @@
 	}
 }
 
+// mayHaveCrashed reports whether a trial ended so that a backend server may have crashed without
+// anyone knowing yet. Its home then lets no other run begin until the deadline of the request.
+func (s *sender) mayHaveCrashed(o outcome) bool {
+	return s.request.Order.Trial && o.err != nil && (o.err.Kind == kind.BrokenAnswer || o.err.Kind == kind.LostPeer)
+}
+
 // admit decides whether an attempt may be made after the outcome of the earlier ones.
 func (s *sender) admit(last outcome) (end func(), err error) {
 	if s.dispatcher.Quarantine == nil {
@@ -184,7 +192,7 @@
 			// Without a fingerprint it cannot be told whether the request may run again.
 			retryable = s.request.Order.Idempotent && !s.request.Order.Fingerprint.IsZero() && s.dispatcher.verdict(s.request.Order.Fingerprint) != blame.Quarantined
 		case kind.BrokenAnswer, kind.ForeignAnswer, kind.LostPeer:
-			retryable = s.request.Order.Idempotent
+			retryable = s.request.Order.Idempotent && !s.mayHaveCrashed(o)
 		default:
 		}
 	}
