Do not count crashes of another suspect for a suspect

Cause: two crashes in common convict only if no backend server of the service crashed without the request within 30 s. Crashes by another request that crashes several counted as if backend servers crashed on their own.

Evidence: crashes at 2.2 and 3.2 s by one request, at 16.7, 16.7 and 17.1 s by another, which was suspected until the third.

Change: a crash is explained if a request was in it that was in crashes of several backend servers. The table of TestLedger_Verdict has both sides and failed for the first.

--- a/internal/health/blame/ledger.go
+++ b/internal/health/blame/ledger.go
@@ -42,6 +42,11 @@
 	// purgeInterval is the time between two searches for expired events.
 	purgeInterval = time.Second
 
+	// randomBits and requestBits are the lowest bits of an identifier: those that tell crashes of the same
+	// millisecond apart, and those for the requests of a crash.
+	randomBits  = 14
+	requestBits = 8
+
 	// maxGood and goodTTL bound the requests that are remembered for having ended well.
 	maxGood = 1024
 	goodTTL = time.Minute
@@ -107,6 +112,7 @@
 	if len(suspects) == 0 {
 		return nil
 	}
+	suspects = suspects[:min(len(suspects), 1<<requestBits)]
 	crash := newID(now)
 	events := make([]Event, 0, len(suspects))
 	for i, r := range suspects {
@@ -124,7 +130,6 @@
 // newID returns an identifier that grows with time, so that ledgers agree on which events are
 // the newest. The lowest bits are free for the requests of a crash.
 func newID(now time.Time) uint64 {
-	const randomBits, requestBits = 14, 8
 	return uint64(now.UnixMilli())<<(randomBits+requestBits) | rand.Uint64N(1<<randomBits)<<requestBits
 }
 
@@ -324,19 +329,17 @@
 }
 
 // alone reports whether a request was in two crashes of different backend servers, no other request
-// was in both, and no backend server of the service crashed without it.
+// was in both, and no backend server of the service crashed without it but by another suspect.
 func (l *Ledger) alone(list []*Event) bool {
+	if nodeCount(list) < 2 {
+		return false
+	}
 	var crashIDs []uint64
-	nodes := make(map[netip.AddrPort]bool)
 	for _, e := range list {
 		if !e.Withdrawn {
 			crashIDs = append(crashIDs, e.Crash)
-			nodes[e.Node] = true
 		}
 	}
-	if len(nodes) < 2 {
-		return false
-	}
 	others := make(map[fingerprint.Fingerprint]int)
 	for _, e := range l.events {
 		switch {
@@ -345,7 +348,7 @@
 			if !e.Withdrawn {
 				others[e.Fingerprint]++
 			}
-		case e.Service == list[0].Service && slices.ContainsFunc(list, func(own *Event) bool { return e.At.Sub(own.At).Abs() < relatedTime }):
+		case e.Service == list[0].Service && slices.ContainsFunc(list, func(own *Event) bool { return e.At.Sub(own.At).Abs() < relatedTime }) && !l.explained(e.Crash):
 			return false
 		}
 	}
@@ -357,6 +360,28 @@
 	return true
 }
 
+// explained reports whether another request was in a crash that was in crashes of several backend servers: then
+// the crash says nothing of backend servers that crash on their own.
+func (l *Ledger) explained(crash uint64) bool {
+	for _, e := range l.events {
+		if e.Crash == crash && !e.Withdrawn && nodeCount(l.byRequest[e.Fingerprint]) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// nodeCount returns the number of backend servers that crashed while a request ran.
+func nodeCount(list []*Event) int {
+	nodes := make(map[netip.AddrPort]bool)
+	for _, e := range list {
+		if !e.Withdrawn {
+			nodes[e.Node] = true
+		}
+	}
+	return len(nodes)
+}
+
 // BodyLimit returns the length of the longest body among the suspected and quarantined requests that have
 // a head and a body, or false if there are none. Whether a request with this head is one of them can be told
 // only from its body.
@@ -391,6 +416,22 @@
 	return list
 }
 
+// Related returns all events of the crashes in which a request was, oldest first.
+func (l *Ledger) Related(f fingerprint.Fingerprint) []Event {
+	in := make(map[uint64]bool)
+	for _, e := range l.byRequest[f] {
+		in[e.Crash] = true
+	}
+	var list []Event
+	for _, e := range l.events {
+		if in[e.Crash] {
+			list = append(list, *e)
+		}
+	}
+	slices.SortFunc(list, func(a, b Event) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Cases returns the requests that are suspected or quarantined, the gravest first.
 func (l *Ledger) Cases(now time.Time) []Case {
 	l.purge(now)
--- a/internal/health/blame/ledger_test.go
+++ b/internal/health/blame/ledger_test.go
@@ -63,6 +63,12 @@
 		{"two of three", []crash{{0, "s", 1, []int{1}}, {second, "s", 2, []int{1}}, {second, "s", 3, []int{2}}}, nil, 2 * second, blame.Suspected},
 		{"two of three, the third of another service", []crash{{0, "s", 1, []int{1}}, {second, "s", 2, []int{1}}, {second, "t", 3, []int{2}}}, nil, 2 * second, blame.Quarantined},
 		{"two of three, the third long before", []crash{{0, "s", 3, []int{2}}, {40 * second, "s", 1, []int{1}}, {41 * second, "s", 2, []int{1}}}, nil, 42 * second, blame.Quarantined},
+		{"two of three, the others of another suspect", []crash{
+			{0, "s", 3, []int{2}}, {second, "s", 4, []int{2, 3}}, {5 * second, "s", 1, []int{1}}, {6 * second, "s", 2, []int{1}},
+		}, nil, 7 * second, blame.Quarantined},
+		{"two of three, the other of a suspect at one backend server", []crash{
+			{0, "s", 3, []int{2}}, {second, "s", 3, []int{2}}, {5 * second, "s", 1, []int{1}}, {6 * second, "s", 2, []int{1}},
+		}, nil, 7 * second, blame.Suspected},
 		{"three of many", []crash{
 			{0, "s", 1, []int{1, 5}}, {second, "s", 2, []int{2, 5}}, {second, "s", 2, []int{1}}, {second, "s", 3, []int{3}}, {2 * second, "s", 1, []int{1, 4}},
 		}, nil, 3 * second, blame.Quarantined},
