Tell homes whole crashes

Cause: a home was told only of the requests whose home it is. A grant of a trial also carried only the events of the request.

Change: homes and grants carry whole crashes. TestGuard_ReportCrash_home shows that the home knows when the report returns; the benchmark shows the bytes of messages.

--- a/internal/node/quarantine/guard.go
+++ b/internal/node/quarantine/guard.go
@@ -302,7 +302,7 @@
 	}
 	d := g.grant(now, f, node, time.Duration(m.GetDurationNanos()))
 	g.mu.Lock()
-	events := g.ledger.EventsOf(f)
+	events := g.ledger.Related(f)
 	g.mu.Unlock()
 	return proto.Marshal(&peerpb.TrialGrant{
 		Decision: uint32(d.verdict), RetryAfterNanos: int64(d.retryAfter), Blame: &peerpb.Blame{Events: encode(now, events)},
--- a/internal/node/quarantine/guard_test.go
+++ b/internal/node/quarantine/guard_test.go
@@ -155,6 +155,59 @@
 	}
 }
 
+// TestGuard_ReportCrash_home checks that the home of a request knows of a crash when the report returns, so that it lets
+// no repeat run, though no super-peer answers.
+func TestGuard_ReportCrash_home(t *testing.T) {
+	for range 10 {
+		fleet := newFleet(t, 2, 4)
+		at, _ := rendezvous.Key(suspect.Fingerprint[:]).Pick(fleet[0].Homes())
+		reporter := fleet[1]
+		for _, m := range fleet {
+			m.setDeaf(m.Self != at)
+			if m.Self != at {
+				reporter = m
+			}
+		}
+		reporter.ReportCrash(t.Context(), "s", []blame.Request{suspect})
+		for _, m := range fleet {
+			if got := m.Verdict(suspect.Fingerprint); m.Self == at && got != blame.Suspected {
+				t.Fatalf("got %s at the home when the report returned, want %s", got, blame.Suspected)
+			}
+		}
+	}
+}
+
+// TestGuard_ReportCrash_partOfCrash guards against a home that convicts a bystander because it was told only of
+// the requests whose home it is, and not that another one ran in both crashes too.
+func TestGuard_ReportCrash_partOfCrash(t *testing.T) {
+	fleet := newFleet(t, 2, 4)
+	var list []blame.Request
+	for i := range 12 {
+		list = append(list, blame.Request{Fingerprint: fingerprint.Fingerprint{byte(i), 3}})
+	}
+	var mu sync.Mutex
+	convicted := 0
+	for _, m := range fleet {
+		m.OnVerdict = func(_ fingerprint.Fingerprint, v blame.Verdict) {
+			mu.Lock()
+			defer mu.Unlock()
+			if v == blame.Quarantined {
+				convicted++
+			}
+		}
+	}
+	fleet[0].ReportCrash(t.Context(), "s", list)
+	fleet[5].ReportCrash(t.Context(), "s", list)
+	for _, r := range list {
+		awaitVerdict(t, fleet, r, blame.Suspected)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if convicted > 0 {
+		t.Errorf("got %d verdicts %s by nodes that know a part of a crash, want none", convicted, blame.Quarantined)
+	}
+}
+
 // TestGuard_ReportCrash_deafSuperPeer checks that events reach a data centre whose super-peer does not answer.
 func TestGuard_ReportCrash_deafSuperPeer(t *testing.T) {
 	fleet := newFleet(t, 2, 4)
@@ -369,3 +422,27 @@
 		}
 	})
 }
+
+// BenchmarkGuard_Reply reports the bytes of the answer to a node that knows nothing, as gossip sends it, and of the
+// answer to one that knows the same.
+func BenchmarkGuard_Reply(b *testing.B) {
+	for _, suspects := range []int{0, 1, 100, 512} {
+		g := &quarantine.Guard{
+			Self: netip.MustParseAddrPort("10.0.0.2:80"), Log: zerolog.New(io.Discard),
+			Homes: func() []netip.AddrPort { return nil }, Nodes: func() map[string][]netip.AddrPort { return nil },
+		}
+		for i := range suspects {
+			g.ReportCrash(b.Context(), "reservation", []blame.Request{{Fingerprint: fingerprint.Fingerprint{byte(i), byte(i >> 8), 1}}})
+		}
+		for name, known := range map[string]uint64{"unknown": 0, "same": g.Digest()} {
+			b.Run(fmt.Sprintf("%d suspects/%s", suspects, name), func(b *testing.B) {
+				b.ReportAllocs()
+				var payload []byte
+				for b.Loop() {
+					payload, _ = proto.Marshal(g.Reply(&peerpb.Blame{Digest: known}))
+				}
+				b.ReportMetric(float64(len(payload)), "bytes")
+			})
+		}
+	}
+}
--- a/internal/node/quarantine/spread.go
+++ b/internal/node/quarantine/spread.go
@@ -31,18 +31,18 @@
 // startPollInterval is the time between two checks whether a starting node knows its neighbours.
 const startPollInterval = 20 * time.Millisecond
 
-// tellHomes tells the homes of the requests about events, so that no further trial
-// begins.
+// tellHomes tells the homes of the requests about a crash, so that no further trial begins. Each
+// gets the whole crash: what else ran is part of the evidence.
 func (g *Guard) tellHomes(ctx context.Context, events []blame.Event) {
-	homes := make(map[netip.AddrPort][]blame.Event)
+	homes := make(map[netip.AddrPort]bool)
 	for _, e := range events {
 		if home, ok := rendezvous.Key(e.Fingerprint[:]).Pick(g.Homes()); ok && home != g.Self {
-			homes[home] = append(homes[home], e)
+			homes[home] = true
 		}
 	}
 	var wg sync.WaitGroup
-	for home, list := range homes {
-		wg.Go(func() { g.tell(ctx, home, list, false) })
+	for home := range homes {
+		wg.Go(func() { g.tell(ctx, home, events, false) })
 	}
 	wg.Wait()
 }
