Blame runs that were abandoned shortly before a crash too

Cause: only requests that ran when the crash was noticed were blamed. A backend server does not stop at once when its connection is closed, and may crash by a request that its caller has left, whose hedge was answered, or that the quarantine has stopped.

TestExecutor_Run_crash_abandoned failed on the code before.

Change: runs that ended without a response in the last 0.5 s are blamed too.

--- a/internal/node/dispatcher/quarantine_test.go
+++ b/internal/node/dispatcher/quarantine_test.go
@@ -18,6 +18,7 @@
 	verdict   blame.Verdict
 	crashedAt []netip.AddrPort
 	refusal   kind.Kind // Failure of Admit for suspects; Internal for none.
+	homeKnows bool      // Only the home of the request suspects it.
 	trials    int       // Trials begun.
 	ended     int
 }
@@ -31,7 +32,7 @@
 	switch {
 	case q.verdict == blame.Quarantined:
 		return nil, failure.New(kind.Quarantined, "", nil)
-	case q.verdict == blame.Clear && !suspected:
+	case q.verdict == blame.Clear && !suspected && !q.homeKnows:
 		return func() {}, nil
 	case q.refusal != kind.Internal:
 		return nil, failure.New(q.refusal, "", nil)
@@ -121,15 +122,17 @@
 
 // TestDispatcher_Forward_trialNotHedged checks that a suspected request is not hedged.
 func TestDispatcher_Forward_trialNotHedged(t *testing.T) {
-	first, second := &fakeOwner{hang: true}, &fakeOwner{status: 200}
-	d := newDispatcher(t, first, second)
-	d.Quarantine = &fakeQuarantine{verdict: blame.Suspected}
-	r := newRequest(true, "")
-	r.Order.Fingerprint = fingerprint.Fingerprint{1}
-	ctx, cancel := context.WithDeadline(t.Context(), r.Order.Due.Add(r.Order.Objective))
-	defer cancel()
-	_, err := d.Forward(ctx, r)
-	if got := second.runs.Load(); got != 0 || err == nil {
-		t.Errorf("got %d hedges and the error %v, want none", got, err)
+	for _, q := range []*fakeQuarantine{{verdict: blame.Suspected}, {homeKnows: true}} {
+		first, second := &fakeOwner{hang: true}, &fakeOwner{status: 200}
+		d := newDispatcher(t, first, second)
+		d.Quarantine = q
+		r := newRequest(true, "")
+		r.Order.Fingerprint = fingerprint.Fingerprint{1}
+		ctx, cancel := context.WithDeadline(t.Context(), r.Order.Due.Add(r.Order.Objective))
+		_, err := d.Forward(ctx, r)
+		cancel()
+		if got := second.runs.Load(); got != 0 || err == nil {
+			t.Errorf("suspected by its home alone: %t: got %d hedges and the error %v, want none", q.homeKnows, got, err)
+		}
 	}
 }
--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -29,7 +29,11 @@
 	// incarnation.
 	restartTimeout = 10 * time.Second
 
-	// maxLost bounds the runs that lost their connections and are remembered.
+	// abandonedTTL is the time for which a run that ended without a response may still crash the backend
+	// server.
+	abandonedTTL = 500 * time.Millisecond
+
+	// maxLost bounds the runs that are remembered because they were abandoned or lost.
 	maxLost = 64
 
 	// maxFinishedBody bounds the rest of a body, in bytes, that is read after a crash.
@@ -70,7 +74,9 @@
 	c = &crashCheck{client: x.client, started: time.Now(), done: make(chan struct{})}
 	ex.check = c
 	suspects := ex.runningWith(x.client)
+	abandoned := slices.Clone(ex.abandoned)
 	ex.mu.Unlock()
+	abandoned = slices.DeleteFunc(abandoned, func(l lostRun) bool { return l.client != x.client || c.started.Sub(l.at) > abandonedTTL })
 
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
@@ -80,18 +86,19 @@
 	c.crashed = refused && serving && ex.client == x.client
 	ex.mu.Unlock()
 	if c.crashed {
-		ex.reportCrash(x, suspects)
+		ex.reportCrash(x, suspects, abandoned)
 	}
 	close(c.done)
 	return c.crashed
 }
 
-// lostRun is a run that lost its connection although the backend server accepts further
-// ones.
+// lostRun is a run that ended without a response: it was abandoned, or it lost its connection although the
+// backend server accepts further ones.
 type lostRun struct {
 	request blame.Request
 	id      string
 	at      time.Time
+	client  *exchange.Client // Of the incarnation.
 }
 
 // recordLost records a run that lost its connection. If the backend server has crashed and is back
@@ -101,7 +108,19 @@
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	if _, serving := ex.tracker.Serving(); serving && x.client == ex.client && len(ex.lost) < maxLost {
-		ex.lost = append(ex.lost, lostRun{request: r, id: x.order.ID, at: time.Now()})
+		ex.lost = append(ex.lost, lostRun{request: r, id: x.order.ID, at: time.Now(), client: x.client})
+	}
+}
+
+// recordAbandoned records a run that ended without a response. Most backend servers stop work when the
+// connection is closed, but not at once.
+func (ex *Executor) recordAbandoned(x *execution) {
+	r, now := x.request(), time.Now()
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.abandoned = slices.DeleteFunc(ex.abandoned, func(l lostRun) bool { return now.Sub(l.at) > abandonedTTL })
+	if len(ex.abandoned) < maxLost {
+		ex.abandoned = append(ex.abandoned, lostRun{request: r, id: x.order.ID, at: now, client: x.client})
 	}
 }
 
@@ -148,11 +167,11 @@
 
 // reportCrash blames a crash on the requests that ran. It returns once the nodes know that
 // let them run again.
-func (ex *Executor) reportCrash(x *execution, suspects []*execution) {
+func (ex *Executor) reportCrash(x *execution, suspects []*execution, abandoned []lostRun) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
 	finishBodies(ctx, suspects)
-	ex.logCrash(x, suspects)
+	ex.logCrash(x, suspects, abandoned)
 	if ex.Quarantine == nil {
 		return
 	}
@@ -160,6 +179,9 @@
 	for _, s := range suspects {
 		requests = append(requests, s.request())
 	}
+	for _, l := range abandoned {
+		requests = append(requests, l.request)
+	}
 	ex.Quarantine.ReportCrash(ctx, x.order.Service, requests)
 }
 
@@ -195,12 +217,15 @@
 }
 
 // logCrash logs a crash with all requests that ran. One of them may have caused it.
-func (ex *Executor) logCrash(x *execution, suspects []*execution) {
+func (ex *Executor) logCrash(x *execution, suspects []*execution, abandoned []lostRun) {
 	list := zerolog.Arr()
 	for _, s := range suspects {
 		f, _ := s.fingerprint()
 		list.Dict(zerolog.Dict().Str("RequestID", s.order.ID).Stringer("Fingerprint", f).Str("Customer", s.order.Customer).
 			Dur("Running", time.Since(s.started)))
 	}
+	for _, l := range abandoned {
+		list.Dict(zerolog.Dict().Str("RequestID", l.id).Stringer("Fingerprint", l.request.Fingerprint).Dur("AbandonedFor", time.Since(l.at)))
+	}
 	ex.Log.Warn().Str("Instance", x.instance).Str("Service", x.order.Service).Array("Requests", list).Msg("backend server crashed")
 }
--- a/internal/node/executor/crash_test.go
+++ b/internal/node/executor/crash_test.go
@@ -61,8 +61,25 @@
 	listener net.Listener
 	respond  func(s *fragileServer, conn net.Conn, target string) // Handles a request whose head and body were read.
 
-	mu    sync.Mutex
-	conns []net.Conn
+	mu       sync.Mutex
+	conns    []net.Conn
+	requests int // That were read.
+}
+
+// awaitRequests waits until the backend server has read a number of requests.
+func (s *fragileServer) awaitRequests(t *testing.T, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		got := s.requests
+		s.mu.Unlock()
+		if got >= n {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d requests after 5 s, want %d", got, n)
+		}
+	}
 }
 
 func startFragile(t *testing.T, respond func(s *fragileServer, conn net.Conn, target string)) *fragileServer {
@@ -101,15 +118,19 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		if req.URL.Path == "/healthz" {
-			answer(conn)
+			answer(conn, "")
 			continue
 		}
+		s.mu.Lock()
+		s.requests++
+		s.mu.Unlock()
 		s.respond(s, conn, req.URL.Path)
 	}
 }
 
-func answer(conn net.Conn) {
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+// answer answers a request, whose identifier is its target in these tests.
+func answer(conn net.Conn, target string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-ID: "+target+"\r\nContent-Length: 2\r\n\r\nok")
 }
 
 // crash ends the process: the listener and all connections.
@@ -136,13 +157,15 @@
 	now := time.Now()
 	return &order.Order{
 		ID: target, Method: http.MethodPost, Target: target, Host: "h", Header: http.Header{}, Route: "r", Service: "s", Level: order.Queued,
-		Deadline: now.Add(5 * time.Second), Due: now.Add(5 * time.Second), QueueDeadline: now.Add(5 * time.Second), Objective: 5 * time.Second,
+		Deadline: now.Add(10 * time.Second), Due: now.Add(10 * time.Second), QueueDeadline: now.Add(10 * time.Second), Objective: 10 * time.Second,
 		Fingerprint: fingerprint.Fingerprint{f},
 	}
 }
 
 func run(t *testing.T, ex *executor.Executor, o *order.Order, body io.Reader) error {
-	response, err := ex.Run(t.Context(), o, func(transport.Verdict) {}, func() (io.Reader, error) { return body, nil })
+	ctx, cancel := context.WithDeadline(t.Context(), o.Deadline)
+	defer cancel()
+	response, err := ex.Run(ctx, o, func(transport.Verdict) {}, func() (io.Reader, error) { return body, nil })
 	if err != nil {
 		return err
 	}
@@ -154,35 +177,27 @@
 // TestExecutor_Run_crash checks that only a crash of the backend server counts as one, and that it is blamed once
 // on all requests that ran, whichever of them notices it.
 func TestExecutor_Run_crash(t *testing.T) {
+	wait := func(_ *fragileServer, conn net.Conn, _ string) { _, _ = conn.Read(make([]byte, 1)) }
 	tests := []struct {
 		desc    string
 		respond func(s *fragileServer, conn net.Conn, target string)
-		leave   bool // The backend server says that it leaves before the requests end.
+		crash   bool // Once all requests run.
+		leave   bool // The backend server says that it leaves before.
 		want    int  // Requests blamed.
 		kind    kind.Kind
 	}{
-		{"crash", func(s *fragileServer, _ net.Conn, target string) {
-			if target == "/1" {
-				time.Sleep(50 * time.Millisecond)
-				s.crash()
-			}
-		}, false, 3, kind.CrashedBackendServer},
+		{"crash", wait, true, false, 3, kind.CrashedBackendServer},
 		{"connection reset", func(_ *fragileServer, conn net.Conn, _ string) {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
-		}, false, 0, kind.BrokenAnswer},
-		{"connection closed", func(_ *fragileServer, conn net.Conn, _ string) { _ = conn.Close() }, false, 0, kind.BrokenAnswer},
+		}, false, false, 0, kind.BrokenAnswer},
+		{"connection closed", func(_ *fragileServer, conn net.Conn, _ string) { _ = conn.Close() }, false, false, 0, kind.BrokenAnswer},
 		{"truncated response", func(_ *fragileServer, conn net.Conn, _ string) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok")
 			_ = conn.Close()
-		}, false, 0, kind.BrokenAnswer},
-		{"bytes that are no response", func(_ *fragileServer, conn net.Conn, _ string) { _, _ = io.WriteString(conn, "no\r\n\r\n") }, false, 0, kind.BrokenAnswer},
-		{"planned stop", func(s *fragileServer, _ net.Conn, target string) {
-			if target == "/1" {
-				time.Sleep(100 * time.Millisecond)
-				s.crash()
-			}
-		}, true, 0, kind.BrokenAnswer},
+		}, false, false, 0, kind.BrokenAnswer},
+		{"bytes that are no response", func(_ *fragileServer, conn net.Conn, _ string) { _, _ = io.WriteString(conn, "no\r\n\r\n") }, false, false, 0, kind.BrokenAnswer},
+		{"planned stop", wait, true, true, 0, kind.BrokenAnswer},
 	}
 	for _, tt := range tests {
 		s := startFragile(t, tt.respond)
@@ -190,19 +205,24 @@
 		var wg sync.WaitGroup
 		errs := make([]error, 3)
 		for i, target := range []string{"/1", "/2", "/3"} {
-			wg.Go(func() { errs[i] = run(t, ex, newOrder(target, byte(i+1)), nil) })
+			o := newOrder(target, byte(i+1))
+			o.Level = order.Any
+			wg.Go(func() { errs[i] = run(t, ex, o, nil) })
 		}
-		if tt.leave {
-			time.Sleep(30 * time.Millisecond)
-			ex.Deregister("i-1", time.UnixMilli(1))
+		if tt.crash {
+			s.awaitRequests(t, 3)
+			if tt.leave {
+				ex.Deregister("i-1", time.UnixMilli(1))
+			}
+			s.crash()
 		}
 		wg.Wait()
 		got := 0
-		for _, c := range q.crashes {
+		for _, c := range q.reported() {
 			got += len(c)
 		}
-		if got != tt.want || tt.want > 0 && len(q.crashes) != 1 {
-			t.Errorf("%s: got %d requests blamed in %d crashes, want %d", tt.desc, got, len(q.crashes), tt.want)
+		if got != tt.want || tt.want > 0 && len(q.reported()) != 1 {
+			t.Errorf("%s: got %d requests blamed in %d crashes, want %d", tt.desc, got, len(q.reported()), tt.want)
 		}
 		for i, err := range errs {
 			if f := failure.From(err); err == nil || f.Kind != tt.kind {
@@ -212,6 +232,32 @@
 	}
 }
 
+// TestExecutor_Run_crash_abandoned guards against a crash that is blamed on bystanders alone, because the request
+// that caused it had just been stopped or left by its caller: the backend server may have gone on.
+func TestExecutor_Run_crash_abandoned(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Second} {
+		s := startFragile(t, func(*fragileServer, net.Conn, string) { <-t.Context().Done() })
+		ex, q := newFragileExecutor(t, s)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = run(t, ex, newOrder("/guilty", 1), nil) })
+		s.awaitRequests(t, 1)
+		wg.Go(func() { _ = run(t, ex, newOrder("/bystander", 2), nil) })
+		s.awaitRequests(t, 2)
+		ex.ApplyVerdict(fingerprint.Fingerprint{1}, blame.Quarantined)
+		awaitLoad(t, ex, 1, 0)
+		time.Sleep(after)
+		s.crash()
+		wg.Wait()
+		want := 2
+		if after > 0 {
+			want = 1
+		}
+		if got := q.reported(); len(got) != 1 || len(got[0]) != want {
+			t.Errorf("%s after the run was stopped: got crashes %v, want %d requests in one", after, got, want)
+		}
+	}
+}
+
 // TestExecutor_Run_crash_body checks that requests whose body is read while they run are recognised,
 // also if the backend server crashes before it has read all of it.
 func TestExecutor_Run_crash_body(t *testing.T) {
@@ -268,21 +314,22 @@
 		case "/3":
 			_, _ = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 		default:
-			answer(conn)
+			answer(conn, target)
 		}
 	}
 	tests := []struct {
-		desc  string
-		later string // Target of a later request; empty for none.
-		left  bool
-		born  time.Time
-		want  int
+		desc      string
+		later     string // Target of a later request; empty for none.
+		laterKind kind.Kind
+		left      bool
+		born      time.Time
+		want      int
 	}{
-		{"next incarnation", "", false, time.Now(), 1},
-		{"next incarnation, which rejected a request for the earlier one", "/3", false, time.Now(), 1},
-		{"the incarnation answered again", "/2", false, time.Now(), 0},
-		{"it left before", "", true, time.Now(), 0},
-		{"late heartbeat of an earlier one", "", false, time.UnixMilli(0), 0},
+		{"next incarnation", "", kind.Internal, false, time.Now(), 1},
+		{"next incarnation, which rejected a request for the earlier one", "/3", kind.OtherIncarnation, false, time.Now(), 1},
+		{"the incarnation answered again", "/2", kind.Internal, false, time.Now(), 0},
+		{"it left before", "", kind.Internal, true, time.Now(), 0},
+		{"late heartbeat of an earlier one", "", kind.Internal, false, time.UnixMilli(0), 0},
 	}
 	for _, tt := range tests {
 		ex, q := newFragileExecutor(t, startFragile(t, closeOn1))
@@ -290,12 +337,19 @@
 			t.Errorf("%s: got %s, want %s", tt.desc, f.Kind, kind.BrokenAnswer)
 		}
 		if tt.later != "" {
-			_ = run(t, ex, newOrder(tt.later, 2), nil)
+			o := newOrder(tt.later, 2)
+			o.Level = order.Any
+			if err := run(t, ex, o, nil); err != nil && failure.From(err).Kind != tt.laterKind || err == nil && tt.laterKind != kind.Internal {
+				t.Errorf("%s: got %v for the later request, want %s", tt.desc, err, tt.laterKind)
+			}
 		}
 		if tt.left {
 			ex.Deregister("i-1", time.UnixMilli(1))
 		}
 		ex.Heartbeat(incarnation.Announcement{InstanceID: "i-2", StartedAt: tt.born, Sequence: 1, Service: "s", Address: ex.Address, Slots: 3})
+		if tt.want == 0 {
+			time.Sleep(50 * time.Millisecond)
+		}
 		for deadline := time.Now().Add(time.Second); len(q.reported()) < tt.want && time.Now().Before(deadline); {
 			time.Sleep(time.Millisecond)
 		}
@@ -338,11 +392,14 @@
 		awaitLoad(t, ex, 3, 1)
 		ex.ApplyVerdict(fingerprint.Fingerprint{1}, tt.verdict)
 		for name, want := range map[string]kind.Kind{"running": tt.running, "waiting": tt.waiting, "other 1": kind.Internal} {
-			got := kind.Internal
+			got, patience := kind.Internal, 5*time.Second
+			if want == kind.Internal {
+				patience = 50 * time.Millisecond
+			}
 			select {
 			case err := <-ends[name]:
 				got = failure.From(err).Kind
-			case <-time.After(100 * time.Millisecond):
+			case <-time.After(patience):
 			}
 			if got != want {
 				t.Errorf("%s, %s: got %s, want %s", tt.desc, name, got, want)
@@ -367,7 +424,7 @@
 // TestExecutor_Run_verdict checks what a node beside a backend server refuses on its own, in case
 // the entry does not know of a crash yet.
 func TestExecutor_Run_verdict(t *testing.T) {
-	ex, q := newFragileExecutor(t, startFragile(t, func(_ *fragileServer, conn net.Conn, _ string) { answer(conn) }))
+	ex, q := newFragileExecutor(t, startFragile(t, func(_ *fragileServer, conn net.Conn, target string) { answer(conn, target) }))
 	tests := []struct {
 		verdict blame.Verdict
 		trial   bool
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -188,6 +188,9 @@
 
 func (x *execution) release(o scheduler.Outcome) {
 	x.releaseOnce.Do(func() {
+		if o == scheduler.Cancelled || o == scheduler.Expired {
+			x.executor.recordAbandoned(x)
+		}
 		x.executor.release(x.id, o)
 		x.stop(nil)
 	})
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -82,6 +82,7 @@
 	orders    map[uint64]*order.Order          // Requests that run or wait, by identifier.
 	running   map[uint64]*execution            // Requests that hold a slot, by identifier.
 	check     *crashCheck                      // The latest one; nil if there was none.
+	abandoned []lostRun                        // Runs that ended lately without a response; the backend server may go on with them.
 	lost      []lostRun                        // Runs that lost their connection, with no response to a later one.
 	timer     *time.Timer
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
