Do not convict by crashes that happen together

Cause: a request that is hedged runs at two backend servers. Both crashed at the same moment, and nothing else was in both crashes.

Change: two crashes convict only if the second run was a trial, which began after the first crash, or if they are more than 0.1 s apart. Three convict as before. TestLedger_Verdict has the case and failed; TestLedger_Verdict_trial has the other side.

--- a/internal/health/blame/ledger.go
+++ b/internal/health/blame/ledger.go
@@ -39,6 +39,10 @@
 	// it: backend servers also crash without it.
 	relatedTime = 30 * time.Second
 
+	// togetherTime is the time within which backend servers count as having crashed together: nodes that share
+	// processors notice it some 40 ms apart.
+	togetherTime = 100 * time.Millisecond
+
 	// purgeInterval is the time between two searches for expired events.
 	purgeInterval = time.Second
 
@@ -72,6 +76,7 @@
 	Fingerprint fingerprint.Fingerprint // Zero if it is not known.
 	Head        fingerprint.Fingerprint // Without the body; zero if there is none.
 	BodyBytes   int64
+	Trial       bool // The run began when the request was suspected already.
 }
 
 // Event is one crash as it counts against one request.
@@ -328,10 +333,30 @@
 	return Suspected, end
 }
 
-// alone reports whether a request was in two crashes of different backend servers, no other request
+// sequential reports whether backend servers crashed one after the other while a request ran there. Several that
+// crash together, as by a loss of power, may have run copies of any request.
+func sequential(list []*Event) bool {
+	var first, last time.Time
+	for _, e := range list {
+		switch {
+		case e.Withdrawn:
+		case e.Trial:
+			return true
+		case first.IsZero():
+			first, last = e.At, e.At
+		case e.At.Before(first):
+			first = e.At
+		case e.At.After(last):
+			last = e.At
+		}
+	}
+	return last.Sub(first) > togetherTime
+}
+
+// alone reports whether a request was in two crashes of different backend servers, one after the other, no other request
 // was in both, and no backend server of the service crashed without it but by another suspect.
 func (l *Ledger) alone(list []*Event) bool {
-	if nodeCount(list) < 2 {
+	if nodeCount(list) < 2 || !sequential(list) {
 		return false
 	}
 	var crashIDs []uint64
--- a/internal/health/blame/ledger_test.go
+++ b/internal/health/blame/ledger_test.go
@@ -59,6 +59,8 @@
 		{"two of two, alone", []crash{{0, "s", 1, []int{1}}, {second, "s", 2, []int{1}}}, nil, 2 * second, blame.Quarantined},
 		{"two of two, beside others", []crash{{0, "s", 1, []int{1, 2, 3}}, {second, "s", 2, []int{4, 1}}}, nil, 2 * second, blame.Quarantined},
 		{"two of two, with the same other", []crash{{0, "s", 1, []int{1, 2}}, {second, "s", 2, []int{2, 1}}}, nil, 2 * second, blame.Suspected},
+		{"two at the same moment, by copies", []crash{{0, "s", 1, []int{1}}, {10 * time.Millisecond, "s", 2, []int{1}}}, nil, second, blame.Suspected},
+		{"two by copies, one after the other", []crash{{0, "s", 1, []int{1}}, {150 * time.Millisecond, "s", 2, []int{1}}}, nil, second, blame.Quarantined},
 		{"two at one backend server that flaps", []crash{{0, "s", 1, []int{1}}, {second, "s", 1, []int{1}}}, nil, 2 * second, blame.Suspected},
 		{"two of three", []crash{{0, "s", 1, []int{1}}, {second, "s", 2, []int{1}}, {second, "s", 3, []int{2}}}, nil, 2 * second, blame.Suspected},
 		{"two of three, the third of another service", []crash{{0, "s", 1, []int{1}}, {second, "s", 2, []int{1}}, {second, "t", 3, []int{2}}}, nil, 2 * second, blame.Quarantined},
@@ -207,6 +209,25 @@
 	})
 }
 
+// TestLedger_Verdict_trial checks that a crash by a trial convicts however soon it follows the first: the run
+// began afterwards, so that the two did not crash together.
+func TestLedger_Verdict_trial(t *testing.T) {
+	for _, trial := range []bool{false, true} {
+		var l blame.Ledger
+		r := request(1)
+		l.Crash(start, "s", node(1), []blame.Request{r})
+		r.Trial = trial
+		l.Crash(start.Add(20*time.Millisecond), "s", node(2), []blame.Request{r})
+		want := blame.Suspected
+		if trial {
+			want = blame.Quarantined
+		}
+		if got := l.Verdict(start.Add(time.Second), r.Fingerprint); got != want {
+			t.Errorf("trial %t: got %s, want %s", trial, got, want)
+		}
+	}
+}
+
 // TestLedger_bounds checks that neither crashes nor good ends let a ledger grow without bound, that the
 // newest events are kept, and that it is empty again once all are forgotten.
 func TestLedger_bounds(t *testing.T) {
@@ -270,6 +291,7 @@
 	l.Crash(now, "bookings", netip.MustParseAddrPort("10.0.0.1:80"), []blame.Request{harmful, other})
 	fmt.Println(l.Verdict(now, harmful.Fingerprint), l.Verdict(now, other.Fingerprint))
 	l.GoodEnd(now, other.Fingerprint)
+	now = now.Add(time.Second)
 	l.Crash(now, "bookings", netip.MustParseAddrPort("10.0.0.2:80"), []blame.Request{harmful})
 	fmt.Println(l.Verdict(now, harmful.Fingerprint), l.Verdict(now, other.Fingerprint))
 	// Output:
--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -157,7 +157,7 @@
 // request describes the request for the blame of a crash.
 func (x *execution) request() blame.Request {
 	f, length := x.fingerprint()
-	r := blame.Request{Fingerprint: f, BodyBytes: length}
+	r := blame.Request{Fingerprint: f, BodyBytes: length, Trial: x.order.Trial}
 	if length > 0 {
 		o := x.order
 		r.Head = x.executor.Identify(o.Method, o.Host, o.Target, o.Customer).Sum()
--- a/internal/node/quarantine/wire.go
+++ b/internal/node/quarantine/wire.go
@@ -21,7 +21,7 @@
 		node, _ := e.Node.MarshalBinary()
 		m := &peerpb.BlameEvent{
 			Id: e.ID, Crash: e.Crash, Fingerprint: e.Fingerprint[:], BodyBytes: e.BodyBytes, Service: e.Service, Node: node,
-			Share: float32(e.Share), AgeMillis: uint32(min(max(now.Sub(e.At).Milliseconds(), 0), math.MaxUint32)), Withdrawn: e.Withdrawn,
+			Share: float32(e.Share), AgeMillis: uint32(min(max(now.Sub(e.At).Milliseconds(), 0), math.MaxUint32)), Withdrawn: e.Withdrawn, Trial: e.Trial,
 		}
 		if !e.Head.IsZero() {
 			m.Head = e.Head[:]
@@ -39,6 +39,7 @@
 		e := blame.Event{
 			Request: blame.Request{
 				Fingerprint: fingerprint.FromBytes(m.GetFingerprint()), Head: fingerprint.FromBytes(m.GetHead()), BodyBytes: m.GetBodyBytes(),
+				Trial: m.GetTrial(),
 			},
 			ID: m.GetId(), Crash: m.GetCrash(), Service: m.GetService(), Share: float64(m.GetShare()),
 			At: now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond), Withdrawn: m.GetWithdrawn(),
