Let suspects run at the last backend server once it had time to come back

It had crashed, and a harmless request that ran there, the same for all callers, was refused at all nodes for as long as it was suspected, a minute.

Cause: no suspect ran while fewer than two backend servers were in service, so that nothing could clear it.

Change: the last backend server runs no suspect for 5 s after a crash, and then one trial at a time. The callers are told the rest of that time. TestLedger_TrialDelay has the cases.

--- a/internal/health/blame/ledger.go
+++ b/internal/health/blame/ledger.go
@@ -39,6 +39,14 @@
 	// it: backend servers also crash without it.
 	relatedTime = 30 * time.Second
 
+	// minInService is the number of backend servers of a service that are in service with which a suspected request may
+	// run at once.
+	minInService = 2
+
+	// lastServerDelay is the time after a crash in which the last backend server of a service runs no suspect. One that
+	// crashed is back after some three seconds.
+	lastServerDelay = 5 * time.Second
+
 	// togetherTime is the time within which backend servers count as having crashed together: nodes that share
 	// processors notice it some 40 ms apart.
 	togetherTime = 100 * time.Millisecond
@@ -407,6 +415,17 @@
 	return len(nodes)
 }
 
+// TrialDelay returns how long a suspected request must still wait before it may run while a number of backend servers
+// of its service are in service. It may crash one, and the last one is left to others until it had time to come back. A
+// harmless request must not wait for good if there is only one.
+func (l *Ledger) TrialDelay(now time.Time, f fingerprint.Fingerprint, inService int) time.Duration {
+	if inService >= minInService {
+		return 0
+	}
+	_, last := crashes(l.byRequest[f], false)
+	return max(lastServerDelay-now.Sub(last), 0)
+}
+
 // BodyLimit returns the length of the longest body among the suspected and quarantined requests that have
 // a head and a body, or false if there are none. Whether a request with this head is one of them can be told
 // only from its body.
--- a/internal/health/blame/ledger_test.go
+++ b/internal/health/blame/ledger_test.go
@@ -228,6 +228,29 @@
 	}
 }
 
+// TestLedger_TrialDelay guards against a harmless request that is refused as long as it is suspected, since its
+// service has one backend server: found by soak seed 3023.
+func TestLedger_TrialDelay(t *testing.T) {
+	var l blame.Ledger
+	l.Crash(start, "s", node(1), requests(1))
+	tests := []struct {
+		after     time.Duration
+		inService int
+		want      time.Duration
+	}{
+		{0, 2, 0},
+		{time.Second, 1, 4 * time.Second},
+		{time.Second, 0, 4 * time.Second},
+		{5 * time.Second, 1, 0},
+		{30 * time.Second, 1, 0},
+	}
+	for _, tt := range tests {
+		if got := l.TrialDelay(start.Add(tt.after), request(1).Fingerprint, tt.inService); got != tt.want {
+			t.Errorf("%s after the crash with %d in service: got %s, want %s", tt.after, tt.inService, got, tt.want)
+		}
+	}
+}
+
 // TestLedger_bounds checks that neither crashes nor good ends let a ledger grow without bound, that the
 // newest events are kept, and that it is empty again once all are forgotten.
 func TestLedger_bounds(t *testing.T) {
--- a/internal/node/quarantine/guard.go
+++ b/internal/node/quarantine/guard.go
@@ -33,13 +33,9 @@
 	// askTimeout bounds a question to another node, for whose reply a caller may wait.
 	askTimeout = 150 * time.Millisecond
 
-	// trialRetryAfter is the time after which a suspected request may be tried again that
-	// has not run, because its home did not answer or too few backend servers are in service.
+	// trialRetryAfter is the time after which a suspected request may be tried again whose home
+	// did not answer.
 	trialRetryAfter = time.Second
-
-	// minInService is the number of backend servers of a service that must be in service for
-	// a suspected request to run: it may crash one, and the last ones are left to others.
-	minInService = 2
 )
 
 // Guard holds the suspected and quarantined requests that a node knows of, and the trials of
@@ -172,8 +168,12 @@
 		}
 	case blame.Suspected:
 	}
-	if n := g.InService(o.Service); n < minInService {
-		return nil, g.refuse(o, kind.Suspected, trialRetryAfter, "too few backend servers are in service")
+	inService := g.InService(o.Service)
+	g.mu.Lock()
+	delay := g.ledger.TrialDelay(time.Now(), o.Fingerprint, inService)
+	g.mu.Unlock()
+	if delay > 0 {
+		return nil, g.refuse(o, kind.Suspected, delay, "too few backend servers are in service")
 	}
 	home, ok := rendezvous.Key(o.Fingerprint[:]).Pick(g.Homes())
 	if !ok {
--- a/internal/node/quarantine/guard_test.go
+++ b/internal/node/quarantine/guard_test.go
@@ -342,6 +342,9 @@
 			}
 		}
 		asker.InService = func(string) int { return tt.inService }
+		if tt.inService < 2 {
+			asker.ReportCrash(t.Context(), "s", []blame.Request{suspect})
+		}
 		home.setDeaf(tt.deafHome)
 		if tt.homeKnows {
 			asker.setDeaf(true)
