--- a/internal/health/blame/ledger.go
+++ b/internal/health/blame/ledger.go
@@ -47,8 +47,8 @@
 	// crashed is back after some three seconds.
 	lastServerDelay = 5 * time.Second
 
-	// togetherTime is the time within which backend servers count as having crashed together: nodes that share
-	// processors notice it some 40 ms apart.
+	// togetherTime is the time within which backend servers count as having crashed together; nodes do not
+	// notice it at the same moment.
 	togetherTime = 100 * time.Millisecond
 
 	// purgeInterval is the time between two searches for expired events.
@@ -64,21 +64,6 @@
 	goodTTL = time.Minute
 )
 
-// Verdict is what a ledger holds of a request.
-type Verdict int
-
-// The verdicts.
-const (
-	Clear       Verdict = iota
-	Suspected           // It may run alone, so that the next crash or good end tells.
-	Quarantined         // It must not run.
-)
-
-// String returns the verdict's name.
-func (v Verdict) String() string {
-	return [...]string{"Clear", "Suspected", "Quarantined"}[v]
-}
-
 // Request is a request that ran when a backend server crashed.
 type Request struct {
 	Fingerprint fingerprint.Fingerprint // Zero if it is not known.
@@ -276,156 +261,6 @@
 	}
 }
 
-// expiry returns when the events against a request are forgotten. Withdrawn ones count too,
-// since other ledgers may still hold them as valid.
-func expiry(list []*Event) time.Time {
-	n, last := crashes(list, true)
-	return last.Add(ttl(n) + trialTTL(n))
-}
-
-// ttl returns the time for which a request is quarantined after its nth crash, or suspected
-// after its first.
-func ttl(n int) time.Duration {
-	if n < 2 {
-		return suspicionTTL
-	}
-	return quarantineTTL << min(n-2, maxDoublings)
-}
-
-// trialTTL returns the time for which a request is suspected after its quarantine.
-func trialTTL(n int) time.Duration {
-	if n < 2 {
-		return 0
-	}
-	return ttl(n)
-}
-
-// crashes returns the number of crashes that count against a request, and the time of the last.
-func crashes(list []*Event, withdrawn bool) (int, time.Time) {
-	var last time.Time
-	seen := make(map[uint64]bool, len(list))
-	for _, e := range list {
-		if e.Withdrawn && !withdrawn {
-			continue
-		}
-		seen[e.Crash] = true
-		if e.At.After(last) {
-			last = e.At
-		}
-	}
-	return len(seen), last
-}
-
-// Verdict returns what the ledger holds of a request.
-func (l *Ledger) Verdict(now time.Time, f fingerprint.Fingerprint) Verdict {
-	v, _ := l.judge(now, f)
-	return v
-}
-
-// judge returns the verdict on a request and when it expires.
-func (l *Ledger) judge(now time.Time, f fingerprint.Fingerprint) (Verdict, time.Time) {
-	list := l.byRequest[f]
-	if len(list) == 0 {
-		return Clear, time.Time{}
-	}
-	n, last := crashes(list, false)
-	end := last.Add(ttl(n))
-	switch {
-	case n == 0 || !now.Before(end.Add(trialTTL(n))):
-		return Clear, time.Time{}
-	case n >= 2 && now.Before(end) && (n >= certainCrashes || l.alone(list)):
-		return Quarantined, end
-	case n >= 2:
-		return Suspected, end.Add(trialTTL(n))
-	}
-	return Suspected, end
-}
-
-// sequential reports whether backend servers crashed one after the other while a request ran there. Several that
-// crash together, as by a loss of power, may have run copies of any request.
-func sequential(list []*Event) bool {
-	var first, last time.Time
-	for _, e := range list {
-		switch {
-		case e.Withdrawn:
-		case e.Trial:
-			return true
-		case first.IsZero():
-			first, last = e.At, e.At
-		case e.At.Before(first):
-			first = e.At
-		case e.At.After(last):
-			last = e.At
-		}
-	}
-	return last.Sub(first) > togetherTime
-}
-
-// alone reports whether a request was in two crashes of different backend servers, one after the other, no other request
-// was in both, and no backend server of the service crashed without it but by another suspect.
-func (l *Ledger) alone(list []*Event) bool {
-	if nodeCount(list) < 2 || !sequential(list) {
-		return false
-	}
-	var crashIDs []uint64
-	for _, e := range list {
-		if !e.Withdrawn {
-			crashIDs = append(crashIDs, e.Crash)
-		}
-	}
-	others := make(map[fingerprint.Fingerprint]int)
-	for _, e := range l.events {
-		switch {
-		case e.Fingerprint == list[0].Fingerprint:
-		case slices.Contains(crashIDs, e.Crash):
-			if !e.Withdrawn {
-				others[e.Fingerprint]++
-			}
-		case e.Service == list[0].Service && slices.ContainsFunc(list, func(own *Event) bool { return e.At.Sub(own.At).Abs() < relatedTime }) && !l.explained(e.Crash):
-			return false
-		}
-	}
-	for _, n := range others {
-		if n >= len(crashIDs) {
-			return false
-		}
-	}
-	return true
-}
-
-// explained reports whether another request was in a crash that was in crashes of several backend servers: then
-// the crash says nothing of backend servers that crash on their own.
-func (l *Ledger) explained(crash uint64) bool {
-	for _, e := range l.events {
-		if e.Crash == crash && !e.Withdrawn && nodeCount(l.byRequest[e.Fingerprint]) > 1 {
-			return true
-		}
-	}
-	return false
-}
-
-// nodeCount returns the number of backend servers that crashed while a request ran.
-func nodeCount(list []*Event) int {
-	nodes := make(map[netip.AddrPort]bool)
-	for _, e := range list {
-		if !e.Withdrawn {
-			nodes[e.Node] = true
-		}
-	}
-	return len(nodes)
-}
-
-// TrialDelay returns how long a suspected request must still wait before it may run while a number of backend servers
-// of its service are in service. It may crash one, and the last one is left to others until it had time to come back. A
-// harmless request must not wait for good if there is only one.
-func (l *Ledger) TrialDelay(now time.Time, f fingerprint.Fingerprint, inService int) time.Duration {
-	if inService >= minInService {
-		return 0
-	}
-	_, last := crashes(l.byRequest[f], false)
-	return max(lastServerDelay-now.Sub(last), 0)
-}
-
 // BodyLimit returns the length of the longest body among the suspected and quarantined requests that have
 // a head and a body, or false if there are none. Whether a request with this head is one of them can be told
 // only from its body.
