Show that a harmless request is quarantined when servers crash together

Three of 20 backend servers of a service crash at the same moment while all clients send the same harmless request. The ledger convicts a request of three crashes, whatever else crashed and also if they were one moment, and the verdict ends the copies whose good ends would clear it. From then on all nodes refuse the request.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$here/../play.sh" "$here" cut
+exec "$here/../play.sh" "$here" crash
--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -28,19 +28,19 @@
 // backend is a stand-in of a backend server.
 type backend struct {
 	record  *record
-	name    string
 	service string
 	address netip.AddrPort
 	control netip.AddrPort // Of the node beside it.
 	slots   int
 	work    time.Duration
-	born    time.Time
-	server  *http.Server
-	stopped chan struct{}
-
-	free chan struct{} // Holds a token for each free slot.
 
 	mu       sync.Mutex // Guards the fields below.
+	name     string
+	born     time.Time
+	server   *http.Server
+	stopped  chan struct{}
+	free     chan struct{} // Holds a token for each free slot.
+	starts   int
 	sequence int64
 	running  int
 	waiting  int
@@ -48,33 +48,53 @@
 }
 
 func newBackend(r *record, name, service string, address, control netip.AddrPort, slots int, work time.Duration) (*backend, error) {
-	b := &backend{
-		record: r, name: name, service: service, address: address, control: control, slots: slots, work: work,
-		born: time.Now(), free: make(chan struct{}, slots), stopped: make(chan struct{}),
+	b := &backend{record: r, name: name, service: service, address: address, control: control, slots: slots, work: work}
+	return b, b.start()
+}
+
+// start starts an incarnation.
+func (b *backend) start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.starts++
+	if b.starts > 1 {
+		b.name = fmt.Sprintf("%s-%d", b.name, b.starts)
 	}
-	for range slots {
+	b.born, b.sequence, b.running, b.waiting = time.Now(), 0, 0, 0
+	b.stopped, b.free = make(chan struct{}), make(chan struct{}, b.slots)
+	for range b.slots {
 		b.free <- struct{}{}
 	}
 	var err error
-	if b.server, err = serve(address, b); err != nil {
-		return nil, err
+	if b.server, err = serve(b.address, &incarnation{b, b.name, b.free}); err != nil {
+		return err
 	}
-	go b.announce()
-	return b, nil
+	go b.announce(b.stopped)
+	return nil
 }
 
+// stop ends the incarnation with all its connections, as a crash does.
 func (b *backend) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	close(b.stopped)
 	_ = b.server.Close()
 }
 
+// incarnation is one run of a backend server.
+type incarnation struct {
+	*backend
+	name string
+	free chan struct{}
+}
+
 // announce sends heartbeats until the backend server ends.
-func (b *backend) announce() {
+func (b *backend) announce(stopped <-chan struct{}) {
 	for {
 		_ = b.heartbeat()
 		select {
 		case <-time.After(heartbeatInterval):
-		case <-b.stopped:
+		case <-stopped:
 			return
 		}
 	}
@@ -84,10 +104,10 @@
 func (b *backend) heartbeat() error {
 	b.mu.Lock()
 	b.sequence++
-	sequence := b.sequence
+	sequence, name, born := b.sequence, b.name, b.born
 	b.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
-		"address": b.address.String(), "born": b.born.UnixMilli(),
+		"address": b.address.String(), "born": born.UnixMilli(),
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": zone, "slots": b.slots},
 		"status": map[string]any{"state": "ready", "sequence": sequence, "cold_remaining_s": 0},
 	})
@@ -95,7 +115,7 @@
 		return err
 	}
 	c := http.Client{Timeout: time.Second}
-	url := fmt.Sprintf("http://%s%sinstances/%s/heartbeat", b.control, prefix, b.name)
+	url := fmt.Sprintf("http://%s%sinstances/%s/heartbeat", b.control, prefix, name)
 	resp, err := c.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -104,7 +124,7 @@
 }
 
 // ServeHTTP serves requests and health checks.
-func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (b *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	h := w.Header()
 	h.Set("Instance-Id", b.name)
@@ -134,7 +154,7 @@
 	b.runRequest(w, r, id)
 }
 
-func (b *backend) runRequest(w http.ResponseWriter, r *http.Request, id string) {
+func (b *incarnation) runRequest(w http.ResponseWriter, r *http.Request, id string) {
 	at := time.Now()
 	b.mu.Lock()
 	b.runs = append(b.runs, ran{id, at, r.RequestURI, r.Header.Get("Tenant-Id")})
@@ -162,7 +182,7 @@
 }
 
 // takeSlot waits for a slot, or returns false if the queue is full or the caller has left.
-func (b *backend) takeSlot(r *http.Request) bool {
+func (b *incarnation) takeSlot(r *http.Request) bool {
 	b.mu.Lock()
 	if b.waiting >= queueLength {
 		b.mu.Unlock()
@@ -185,7 +205,7 @@
 	return got
 }
 
-func (b *backend) releaseSlot() {
+func (b *incarnation) releaseSlot() {
 	b.mu.Lock()
 	b.running--
 	b.mu.Unlock()
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	deadline = 2 * time.Second // Of each request.
-	target   = "/browse/1"
+	usualDeadline = 2 * time.Second // Of each request.
+	target        = "/browse/1"
 )
 
 // request is a request of a client and what came of it.
@@ -19,6 +19,7 @@
 	id       string
 	node     *node
 	key      string
+	target   string
 	sent     time.Time
 	answered time.Time
 	status   int // Zero if there was no complete response.
@@ -29,17 +30,26 @@
 
 // client sends requests on connections that it keeps.
 type client struct {
-	http http.Client
+	http     http.Client
+	deadline time.Duration // Of each request.
 }
 
 func newClient(connections int) *client {
-	return &client{http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}}}
+	return &client{
+		http:     http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}},
+		deadline: usualDeadline,
+	}
 }
 
-// get sends a request to the node's address for clients and waits for the response.
+// get sends a request with the usual target.
 func (c *client) get(n *node, key string) request {
-	q := request{id: fmt.Sprintf("r%07d", lastID.Add(1)), node: n, key: key}
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	return c.send(n, target, key)
+}
+
+// send sends a request to the node's address for clients and waits for the response.
+func (c *client) send(n *node, target, key string) request {
+	q := request{id: fmt.Sprintf("r%07d", lastID.Add(1)), node: n, key: key, target: target}
+	ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.outbound.String(), nil)
 	if err != nil {
@@ -48,7 +58,7 @@
 	r.Host = hostName
 	r.URL.Path = target
 	r.Header.Set("Request-Id", q.id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set("Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+key)
 	q.sent = time.Now()
 	resp, err := c.http.Do(r)
@@ -68,7 +78,7 @@
 // logRequests records requests with what the backend servers ran of them.
 func (f *fleet) logRequests(list []request, runs map[string][]ran) {
 	for _, q := range list {
-		f.record.logAt(q.sent, "%s: sent to %s, %s with key %s; answered after %.3f s with %d; ran %d times", q.id, q.node.name, target, q.key,
+		f.record.logAt(q.sent, "%s: sent to %s, %s with key %s; answered after %.3f s with %d; ran %d times", q.id, q.node.name, q.target, q.key,
 			q.answered.Sub(q.sent).Seconds(), q.status, len(runs[q.id]))
 	}
 }
