--- a/review/play.sh
+++ b/review/play.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case NAME and writes record.txt into its folder: play.sh FOLDER NAME. TROUBLE=0 leaves out the disruption.
-# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Plays a case, with the disruption or without it: play.sh FOLDER NAME true|false. LOGS names a folder that gets the logs
+# of the nodes.
 folder=$(cd "$1" && pwd) || exit 2
 cd "$(dirname "$0")/.." || exit 2
 for program in target/filbertturn target/review/standin; do
@@ -9,8 +9,4 @@
     exit 2
   fi
 done
-trouble=true
-if [ "${TROUBLE:-1}" = 0 ]; then
-  trouble=false
-fi
-exec target/review/standin --case "$2" --folder "$folder" --trouble="$trouble" ${LOGS:+--logs "$LOGS"}
+exec target/review/standin --case "$2" --folder "$folder" --trouble="$3" ${LOGS:+--logs "$LOGS"}
