Tell configurations from one another by their contents, not by revisions

Cause: a read of the store counted as unchanged if the key had the revision of the last read, and the running version was then confirmed as the newest, for the whole data centre. A store that comes back from a copy gives that revision out again, here to the version that revokes the key.

TestSyncer_readStore_restored gives one revision to two versions without a network: the code before keeps the older one.

Change: the value that was read last is compared. A read confirms what is in force also if the store has an older configuration or none, which is logged; before, the second read of an older one did. The same for configurations that cannot be used.

--- a/internal/node/configsync/configsync.go
+++ b/internal/node/configsync/configsync.go
@@ -3,6 +3,7 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -89,8 +90,7 @@
 	startedAt time.Time  // Time at which Run was called.
 	tracker   freshness.Tracker
 	value     []byte                       // The encoded configuration, as the operator wrote it.
-	revision  int64                        // Revision of the key at the last applied read.
-	rejected  int64                        // Revision of the key whose value cannot be used; zero if there is none.
+	lastRead  []byte                       // The value that the last read of the store returned; nil before the first.
 	oddPeers  map[netip.AddrPort]time.Time // Ends of the pauses of peers.
 }
 
@@ -205,31 +205,36 @@
 	result, err := sy.Store.Get(ctx, sy.Key)
 	sy.mu.Lock()
 	sy.tracker.RecordQuery(err)
-	// A revision that cannot be used changes nothing: what is held is the newest that can.
-	same := len(result.Items) == 1 && (result.Items[0].Revision == sy.revision || result.Items[0].Revision == sy.rejected)
-	switch {
-	case same:
-		sy.tracker.Confirm(sy.tracker.Version(), asked)
-	case err == nil && len(result.Items) == 0:
-		sy.tracker.Confirm(0, asked)
-	}
 	sy.mu.Unlock()
-	if err != nil || same || len(result.Items) == 0 {
+	if err != nil {
 		return err
 	}
-	item := result.Items[0]
+	if len(result.Items) > 0 {
+		sy.applyStored(result.Items[0], asked)
+	}
+	// The store may have an older configuration, one that cannot be used, or none. What is in force is the
+	// newest in all cases.
+	sy.mu.Lock()
+	defer sy.mu.Unlock()
+	sy.tracker.Confirm(sy.tracker.Version(), asked)
+	return nil
+}
+
+// applyStored applies the item that the store has, unless that was read last. The values tell, not
+// their revisions: a store that comes back from a copy gives out revisions again.
+func (sy *Syncer) applyStored(item kvstore.Item, asked time.Time) {
+	sy.mu.Lock()
+	isKnown := sy.lastRead != nil && bytes.Equal(item.Value, sy.lastRead)
+	sy.mu.Unlock()
+	if isKnown {
+		return
+	}
 	if err := sy.apply(item.Value, asked, "store"); err != nil {
 		sy.LeftOut.Report(asked, "configuration", item.Key, item.Revision, err)
-		sy.mu.Lock()
-		sy.rejected = item.Revision
-		sy.tracker.Confirm(sy.tracker.Version(), asked)
-		sy.mu.Unlock()
-		return nil
 	}
 	sy.mu.Lock()
-	sy.revision = item.Revision
-	sy.mu.Unlock()
-	return nil
+	defer sy.mu.Unlock()
+	sy.lastRead = item.Value
 }
 
 // ObserveStamp observes the freshness stamp in a peer's reply, whose age is relative to
@@ -351,7 +356,8 @@
 	}
 	compiled := snapshot.Compile(s, version)
 	sy.mu.Lock()
-	newer := version > sy.tracker.Version() || sy.snapshot.Load() == nil
+	running := sy.tracker.Version()
+	newer := version > running || sy.snapshot.Load() == nil
 	if newer {
 		sy.value = value
 		sy.snapshot.Store(compiled)
@@ -359,9 +365,12 @@
 	}
 	sy.tracker.Confirm(version, at)
 	sy.mu.Unlock()
-	if newer {
+	switch {
+	case newer:
 		sy.Log.Info().Uint64("Version", version).Str("Source", source).Dur("ProofAge", time.Since(at)).
 			Int("Routes", len(s.Routes)).Int("Customers", len(s.Customers)).Msg("configuration in force")
+	case version < running:
+		sy.Log.Warn().Uint64("Version", version).Str("Source", source).Uint64("InForce", running).Msg("older configuration than the one in force ignored")
 	}
 	return nil
 }
