Renew no lease that another era of the store granted

What could happen, not seen by callers: a node whose lease was granted after the copy from which the store came back has lost it, with its record. The store gives the number of the lease out again, to another node. The first node then renews that lease with success, and its own record stays lost: nodes that start do not learn of it from the store.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -53,7 +53,7 @@
 
 	mu          sync.Mutex // Guards the fields below.
 	table       nodetable.Table
-	lease       int64                       // Lease of this node's record; zero before the first.
+	lease       kvstore.Lease               // Lease of this node's record; zero before the first.
 	lastRead    time.Time                   // Time of the last read of all records.
 	lastRecheck time.Time                   // Time of the last read because a node was silent.
 	suspects    map[netip.AddrPort]*suspect // Silent nodes of the data centre; used by its super-peer.
--- a/internal/node/discovery/registration.go
+++ b/internal/node/discovery/registration.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	d.mu.Lock()
-	d.lease = lease.ID
+	d.lease = lease
 	d.mu.Unlock()
 	return nil
 }
@@ -85,7 +85,7 @@
 	d.mu.Lock()
 	lease := d.lease
 	d.mu.Unlock()
-	if lease == 0 || d.leaving.Load() {
+	if lease.ID == 0 || d.leaving.Load() {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -94,7 +94,7 @@
 	if !errors.Is(err, kvstore.ErrLeaseNotFound) {
 		return
 	}
-	d.Log.Warn().Msg("lease of the record of this node expired; registering again")
+	d.Log.Warn().Err(err).Msg("lease of the record of this node is gone; registering again")
 	if err := d.register(ctx); err != nil {
 		d.Log.Warn().Err(err).Msg("cannot write the record of this node")
 	}
--- a/internal/node/kvstore/kvstore.go
+++ b/internal/node/kvstore/kvstore.go
@@ -32,6 +32,7 @@
 type Lease struct {
 	ID  int64
 	TTL time.Duration
+	Era int64 // Era of the store that granted it, in which alone the ID names this lease; zero if not known.
 }
 
 // Errors of a store, besides those of the connection to it.
@@ -59,6 +60,7 @@
 	Delete(ctx context.Context, key string) error
 	// Grant creates a lease that expires after ttl unless it is renewed.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-	// KeepAlive renews a lease. It returns ErrLeaseNotFound if the lease has expired.
-	KeepAlive(ctx context.Context, leaseID int64) error
+	// KeepAlive renews a lease. It returns an error that is ErrLeaseNotFound if the lease has expired, or the store has
+	// come back from a copy since the lease was granted.
+	KeepAlive(ctx context.Context, lease Lease) error
 }
