Count crashes that happen together as one piece of evidence

Cause: three crashes convicted a request whatever else had crashed, also if they were at the same moment. Copies of the request ran at all of these backend servers, as at the others. The verdict then ends the copies whose good ends would have withdrawn the blame, and a quarantined request gets no trial.

Evidence: the line with the verdict names three crashes within 0.6 ms, none by a trial.

Change: a crash adds to those before it only if the run began after them, or as a trial. The crashes of another suspect explain a crash only if they are independent too. Three independent crashes convict as before, and two do where nothing else speaks for the request.

--- a/internal/health/blame/ledger.go
+++ b/internal/health/blame/ledger.go
@@ -31,8 +31,8 @@
 	quarantineTTL = 10 * time.Minute
 	maxDoublings  = 7
 
-	// certainCrashes is the number of crashes from which a request is quarantined whatever
-	// else has crashed. The platform's rule allows three.
+	// certainCrashes is the number of independent crashes from which a request is quarantined
+	// whatever else has crashed. The platform's rule allows three.
 	certainCrashes = 3
 
 	// relatedTime is the time within which crashes of a service that a request was not in speak for
@@ -47,8 +47,8 @@
 	// crashed is back after some three seconds.
 	lastServerDelay = 5 * time.Second
 
-	// togetherTime is the time within which backend servers count as having crashed together; nodes do not
-	// notice it at the same moment.
+	// togetherTime is the time within which backend servers that crash together do so; nodes do not notice it at
+	// the same moment.
 	togetherTime = 100 * time.Millisecond
 
 	// purgeInterval is the time between two searches for expired events.
@@ -69,7 +69,8 @@
 	Fingerprint fingerprint.Fingerprint // Zero if it is not known.
 	Head        fingerprint.Fingerprint // Without the body; zero if there is none.
 	BodyBytes   int64
-	Trial       bool // The run began when the request was suspected already.
+	Ran         time.Duration // Time between the begin of the run and the crash; zero if it is not known.
+	Trial       bool          // The run began when the request was suspected already.
 }
 
 // Event is one crash as it counts against one request.
@@ -103,25 +104,25 @@
 	purgedAt  time.Time
 }
 
-// Crash records that the backend server beside a node crashed while requests ran, and returns the events. A
-// request that has ended well at this node lately bears no blame if there is another one that has not.
-func (l *Ledger) Crash(now time.Time, service string, node netip.AddrPort, running []Request) []Event {
-	suspects := l.suspects(now, running)
+// Crash records that the backend server beside a node crashed at a time while requests ran, and returns the
+// events. A request that has ended well at this node lately bears no blame if there is another one that has not.
+func (l *Ledger) Crash(at time.Time, service string, node netip.AddrPort, running []Request) []Event {
+	suspects := l.suspects(at, running)
 	if len(suspects) == 0 {
 		return nil
 	}
 	suspects = suspects[:min(len(suspects), 1<<requestBits)]
-	crash := newID(now)
+	crash := newID(at)
 	events := make([]Event, 0, len(suspects))
 	for i, r := range suspects {
 		if r.Fingerprint.IsZero() {
 			continue
 		}
 		events = append(events, Event{
-			Request: r, ID: crash + uint64(i), Crash: crash, Service: service, Node: node, Share: 1 / float64(len(suspects)), At: now,
+			Request: r, ID: crash + uint64(i), Crash: crash, Service: service, Node: node, Share: 1 / float64(len(suspects)), At: at,
 		})
 	}
-	l.Merge(now, events)
+	l.Merge(at, events)
 	return events
 }
 
--- a/internal/health/blame/verdict.go
+++ b/internal/health/blame/verdict.go
@@ -80,7 +80,7 @@
 	switch {
 	case n == 0 || !now.Before(end.Add(trialTTL(n))):
 		return Clear, time.Time{}
-	case n >= 2 && now.Before(end) && (n >= certainCrashes || l.alone(list)):
+	case now.Before(end) && (independentCrashes(list) >= certainCrashes || l.alone(list)):
 		return Quarantined, end
 	case n >= 2:
 		return Suspected, end.Add(trialTTL(n))
@@ -88,30 +88,34 @@
 	return Suspected, end
 }
 
-// sequential reports whether backend servers crashed one after the other while a request ran there. Several that
-// crash together, as by a loss of power, may have run copies of any request.
-func sequential(list []*Event) bool {
-	var first, last time.Time
+// independentCrashes returns the number of crashes that are evidence of their own against a request. Backend servers that
+// share a cause crash together, as by a loss of power, whatever runs there, and copies of a request may run at several.
+// So a crash adds to those before it only if the run began after them. A trial did, since it began after a crash was known.
+func independentCrashes(list []*Event) int {
+	n := 0
+	var others []*Event
 	for _, e := range list {
 		switch {
 		case e.Withdrawn:
 		case e.Trial:
-			return true
-		case first.IsZero():
-			first, last = e.At, e.At
-		case e.At.Before(first):
-			first = e.At
-		case e.At.After(last):
-			last = e.At
+			n++
+		default:
+			others = append(others, e)
+		}
+	}
+	slices.SortFunc(others, func(a, b *Event) int { return a.At.Compare(b.At) })
+	for i, e := range others {
+		if i == 0 || e.At.Add(-e.Ran).Sub(others[i-1].At) > togetherTime {
+			n++
 		}
 	}
-	return last.Sub(first) > togetherTime
+	return n
 }
 
-// alone reports whether a request was in two crashes of different backend servers, one after the other, no other request
-// was in both, and no backend server of the service crashed without it but by another suspect.
+// alone reports whether a request was in two independent crashes of different backend servers, no other request was in
+// both, and no backend server of the service crashed without it but by another suspect.
 func (l *Ledger) alone(list []*Event) bool {
-	if nodeCount(list) < 2 || !sequential(list) {
+	if !suspicious(list) {
 		return false
 	}
 	var crashIDs []uint64
@@ -140,11 +144,16 @@
 	return true
 }
 
-// explained reports whether another request was in a crash that was in crashes of several backend servers: then
-// the crash says nothing of backend servers that crash on their own.
+// suspicious reports whether a request was in independent crashes of several backend servers.
+func suspicious(list []*Event) bool {
+	return nodeCount(list) > 1 && independentCrashes(list) > 1
+}
+
+// explained reports whether another request was in a crash that was in independent crashes of several backend servers:
+// then the crash says nothing of backend servers that crash on their own.
 func (l *Ledger) explained(crash uint64) bool {
 	for _, e := range l.events {
-		if e.Crash == crash && !e.Withdrawn && nodeCount(l.byRequest[e.Fingerprint]) > 1 {
+		if e.Crash == crash && !e.Withdrawn && suspicious(l.byRequest[e.Fingerprint]) {
 			return true
 		}
 	}
--- a/internal/node/executor/crash.go
+++ b/internal/node/executor/crash.go
@@ -92,7 +92,7 @@
 	c.crashed = refused && serving && ex.client == x.client
 	ex.mu.Unlock()
 	if c.crashed {
-		ex.reportCrash(x, suspects, abandoned)
+		ex.reportCrash(x, c.started, suspects, abandoned)
 	}
 	return c.crashed
 }
@@ -109,18 +109,20 @@
 // recordLost records a run that lost its connection. If the backend server has crashed and is back
 // already, the next incarnation tells.
 func (ex *Executor) recordLost(x *execution) {
-	r := x.request()
+	now := time.Now()
+	r := x.request(now)
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	if _, serving := ex.tracker.Serving(); serving && x.client == ex.client && len(ex.lost) < maxLost {
-		ex.lost = append(ex.lost, lostRun{request: r, id: x.order.ID, at: time.Now(), client: x.client})
+		ex.lost = append(ex.lost, lostRun{request: r, id: x.order.ID, at: now, client: x.client})
 	}
 }
 
 // recordAbandoned records a run that ended without a response. Most backend servers stop work when the
 // connection is closed, but not at once.
 func (ex *Executor) recordAbandoned(x *execution) {
-	r, now := x.request(), time.Now()
+	now := time.Now()
+	r := x.request(now)
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	ex.abandoned = slices.DeleteFunc(ex.abandoned, func(l lostRun) bool { return now.Sub(l.at) > abandonedTTL })
@@ -140,13 +142,26 @@
 	return slices.DeleteFunc(lost, func(l lostRun) bool { return now.Sub(l.at) > restartTimeout })
 }
 
+// requestAt describes the request for the blame of a crash at a time.
+func (l lostRun) requestAt(at time.Time) blame.Request {
+	r := l.request
+	r.Ran += max(at.Sub(l.at), 0)
+	return r
+}
+
 // reportUnseenCrash blames the end of an incarnation on the runs that lost their connections and
-// were not followed by a response.
+// were not followed by a response. It ended when the last of them did.
 func (ex *Executor) reportUnseenCrash(a incarnation.Announcement, lost []lostRun) {
+	var at time.Time
+	for _, l := range lost {
+		if l.at.After(at) {
+			at = l.at
+		}
+	}
 	list := zerolog.Arr()
 	requests := make([]blame.Request, 0, len(lost))
 	for _, l := range lost {
-		requests = append(requests, l.request)
+		requests = append(requests, l.requestAt(at))
 		list.Dict(zerolog.Dict().Str("RequestID", l.id).Stringer("Fingerprint", l.request.Fingerprint).Dur("Ago", time.Since(l.at)))
 	}
 	ex.Log.Warn().Str("Instance", a.InstanceID).Str("Service", a.Service).Array("Requests", list).
@@ -156,13 +171,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
-	ex.Quarantine.ReportCrash(ctx, a.Service, requests)
+	ex.Quarantine.ReportCrash(ctx, at, a.Service, requests)
 }
 
-// request describes the request for the blame of a crash.
-func (x *execution) request() blame.Request {
+// request describes the request for the blame of a crash at a time.
+func (x *execution) request(at time.Time) blame.Request {
 	f, length := x.fingerprint()
-	r := blame.Request{Fingerprint: f, BodyBytes: length, Trial: x.order.Trial}
+	r := blame.Request{Fingerprint: f, BodyBytes: length, Ran: max(at.Sub(x.started), 0), Trial: x.order.Trial}
 	if length > 0 {
 		o := x.order
 		r.Head = x.executor.Identify(o.Method, o.Host, o.Target, o.Customer).Sum()
@@ -170,9 +185,9 @@
 	return r
 }
 
-// reportCrash blames a crash on the requests that ran. It returns once the nodes know that
-// let them run again.
-func (ex *Executor) reportCrash(x *execution, suspects []*execution, abandoned []lostRun) {
+// reportCrash blames a crash at a time on the requests that ran. It returns once the nodes know
+// that let them run again.
+func (ex *Executor) reportCrash(x *execution, at time.Time, suspects []*execution, abandoned []lostRun) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
 	finishBodies(ctx, suspects)
@@ -182,12 +197,12 @@
 	}
 	requests := make([]blame.Request, 0, len(suspects))
 	for _, s := range suspects {
-		requests = append(requests, s.request())
+		requests = append(requests, s.request(at))
 	}
 	for _, l := range abandoned {
-		requests = append(requests, l.request)
+		requests = append(requests, l.requestAt(at))
 	}
-	ex.Quarantine.ReportCrash(ctx, x.order.Service, requests)
+	ex.Quarantine.ReportCrash(ctx, at, x.order.Service, requests)
 }
 
 // finishBodies reads bodies to their ends that were under way when the backend server crashed, so
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -42,8 +42,8 @@
 type Quarantine interface {
 	// Verdict returns what is held of a request.
 	Verdict(f fingerprint.Fingerprint) blame.Verdict
-	// ReportCrash records that the backend server crashed while requests ran.
-	ReportCrash(ctx context.Context, service string, running []blame.Request)
+	// ReportCrash records that the backend server crashed at a time while requests ran.
+	ReportCrash(ctx context.Context, at time.Time, service string, running []blame.Request)
 	// ReportGoodEnd records that a run of a request ended with a response.
 	ReportGoodEnd(f fingerprint.Fingerprint)
 }
--- a/internal/node/quarantine/guard.go
+++ b/internal/node/quarantine/guard.go
@@ -85,12 +85,11 @@
 	return g.ledger.BodyLimit(time.Now(), head)
 }
 
-// ReportCrash records that the backend server beside this node crashed while requests ran. It
+// ReportCrash records that the backend server beside this node crashed at a time while requests ran. It
 // returns once the homes of the requests know, or do not answer.
-func (g *Guard) ReportCrash(ctx context.Context, service string, running []blame.Request) {
-	now := time.Now()
+func (g *Guard) ReportCrash(ctx context.Context, at time.Time, service string, running []blame.Request) {
 	g.mu.Lock()
-	events := g.ledger.Crash(now, service, g.Self, running)
+	events := g.ledger.Crash(at, service, g.Self, running)
 	g.mu.Unlock()
 	g.observe(events)
 	if len(events) == 0 {
--- a/internal/node/quarantine/wire.go
+++ b/internal/node/quarantine/wire.go
@@ -22,7 +22,7 @@
 		node, _ := e.Node.MarshalBinary()
 		m := &peerpb.BlameEvent{
 			Id: e.ID, Crash: e.Crash, Fingerprint: e.Fingerprint[:], BodyBytes: e.BodyBytes, Service: e.Service, Node: node,
-			Share: float32(e.Share), AgeMillis: uint32(min(max(now.Sub(e.At).Milliseconds(), 0), math.MaxUint32)), Withdrawn: e.Withdrawn, Trial: e.Trial,
+			Share: float32(e.Share), AgeMillis: millis(now.Sub(e.At)), RanMillis: millis(e.Ran), Withdrawn: e.Withdrawn, Trial: e.Trial,
 		}
 		if !e.Head.IsZero() {
 			m.Head = e.Head[:]
@@ -32,6 +32,11 @@
 	return list
 }
 
+// millis returns a duration in milliseconds, as far as they fit into a message.
+func millis(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
 // errMalformedEvent reports an event that cannot be used.
 var errMalformedEvent = errors.New("report of a crash without a fingerprint, an identifier or a node, or with a number out of its range")
 
@@ -44,7 +49,7 @@
 		e := blame.Event{
 			Request: blame.Request{
 				Fingerprint: fingerprint.FromBytes(m.GetFingerprint()), Head: fingerprint.FromBytes(m.GetHead()), BodyBytes: m.GetBodyBytes(),
-				Trial: m.GetTrial(),
+				Ran: time.Duration(m.GetRanMillis()) * time.Millisecond, Trial: m.GetTrial(),
 			},
 			ID: m.GetId(), Crash: m.GetCrash(), Service: m.GetService(), Share: float64(m.GetShare()),
 			At: now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond), Withdrawn: m.GetWithdrawn(),
