Let a home hand out the part of the fleet that it is in contact with

Cause: a node that does not reach the home uses its share of the limit. That keeps the limit if the home does without this share, and nothing told it to: it granted all of it, to its own clients, and its bucket filled up as before.

Change: gossip tells a node how long ago it heard of each other one. fleet/contact makes the part of the fleet of it that the node is in contact with, and the buckets of a home fill up by a clock that runs at that part of the speed of time. No message is added.

--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -166,6 +166,12 @@
 	}
 }
 
+// Interval returns the time between two exchanges of a node with its super-peer in a fleet of a
+// number of nodes.
+func Interval(nodes int) time.Duration {
+	return max(MinInterval, time.Duration(nodes)*intervalPerNode)
+}
+
 // due reports whether a round is due, and if so schedules the next one.
 func (g *Gossiper) due(now time.Time, nodes map[string][]netip.AddrPort) bool {
 	total := 0
@@ -177,7 +183,7 @@
 	if now.Before(g.nextRound) {
 		return false
 	}
-	g.interval = max(MinInterval, time.Duration(total)*intervalPerNode)
+	g.interval = Interval(total)
 	// Half a tick of tolerance, since ticks are a little early or late.
 	g.nextRound = now.Add(g.interval - MinInterval/2)
 	g.rounds++
--- a/internal/node/quotas/enforcer.go
+++ b/internal/node/quotas/enforcer.go
@@ -2,7 +2,9 @@
 // customer's home, the node that keeps the token bucket. While the home does not
 // answer, it asks a substitute, which asks the home on its behalf or else admits
 // from the combined shares of all nodes that ask it. If the substitute does not
-// answer either, this node admits its own share of the limit.
+// answer either, this node admits its own share of the limit. A home that is not in
+// contact with a part of the fleet hands out only the shares of the others, so that
+// all parts together keep the limit.
 package quotas
 
 import (
@@ -19,6 +21,7 @@
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/fleet/contact"
 	"filbertturn.example/filbertturn/internal/fleet/nodetable"
 	"filbertturn.example/filbertturn/internal/fleet/rendezvous"
 	"filbertturn.example/filbertturn/internal/limit/quota"
@@ -48,6 +51,10 @@
 	// is asked any more: it is then probably this node that is cut off.
 	maxUnresponsive = 3
 
+	// viewInterval is the minimum time between two looks at the nodes that this node is in
+	// contact with.
+	viewInterval = 50 * time.Millisecond
+
 	shardCount = 16
 )
 
@@ -63,12 +70,22 @@
 	Stamp    func(now time.Time) freshness.Stamp // Returns the freshness of this node's configuration.
 	Log      zerolog.Logger
 
+	// View returns what this node has heard of the others lately; nil if it is always in contact
+	// with the whole fleet.
+	View func(now time.Time) contact.View
+
 	// OnConfigStamp is called with the freshness that another node reported of its
 	// configuration, and the time at which that node was asked.
 	OnConfigStamp func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
 
 	cooldown cooldown.Tracker
 	shards   [shardCount]shard
+
+	mu       sync.Mutex // Guards the fields below.
+	clock    quota.Clock
+	share    float64   // Part of the fleet that this node is in contact with.
+	viewedAt time.Time // Time at which share was determined.
+	askedAt  time.Time // Time of the last question of another node.
 }
 
 // shard holds the buckets of the customers that hash to it.
@@ -164,6 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
+	q.recordQuestion(now)
 	return q.encodeGrant(now, q.takeAsHome(now, m.GetCustomer(), limit))
 }
 
@@ -222,11 +240,48 @@
 
 // takeAsHome takes a token out of the bucket that this node keeps as home.
 func (q *Enforcer) takeAsHome(now time.Time, customer string, l set.Limit) grant {
+	at, share := q.readClock(now)
 	s := q.shard(customer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wait := bucket(&s.homes, customer).Take(now, l.Rate, float64(l.Burst))
-	return grant{admitted: wait == 0, wait: wait}
+	wait := bucket(&s.homes, customer).Take(at, l.Rate, float64(l.Burst))
+	return grant{admitted: wait == 0, wait: time.Duration(float64(wait) / share)}
+}
+
+// readClock returns the time by which the buckets of this home fill up, and the part of the
+// speed of time at which it passes.
+func (q *Enforcer) readClock(now time.Time) (time.Time, float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.View == nil {
+		return now, 1
+	}
+	if q.viewedAt.IsZero() {
+		q.share = 1
+	}
+	if now.Sub(q.viewedAt) >= viewInterval {
+		q.viewedAt = now
+		v := q.View(now)
+		v.Silence = min(v.Silence, now.Sub(q.askedAt))
+		q.setShare(v.Share())
+	}
+	return q.clock.Read(now, q.share), q.share
+}
+
+// setShare sets the part of the fleet that this node is in contact with, and logs when it
+// ceases to be the whole, and when it is again. q.mu must be held.
+func (q *Enforcer) setShare(share float64) {
+	if (share < 1) != (q.share < 1) {
+		q.Log.Info().Float64("Share", share).Msg("part of the fleet that this node is in contact with, and of customers' limits that it hands out as their home")
+	}
+	q.share = share
+}
+
+// recordQuestion records that another node asked this one.
+func (q *Enforcer) recordQuestion(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.askedAt = now
 }
 
 // takeOwnShare takes a token out of this node's own share.
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -132,6 +132,7 @@
 	executor      *executor.Executor
 	dispatcher    *dispatcher.Dispatcher
 	gossiper      *gossip.Gossiper
+	startedAt     time.Time
 	quotaEnforcer *quotas.Enforcer
 	retryBudget   *retrybudget.Budget
 	fleetKey      *fleetkey.Keeper
@@ -151,7 +152,7 @@
 
 // New assembles a node. It opens no connection; Run does.
 func New(s Settings, adapter Adapter, log zerolog.Logger, now time.Time) *Sidecar {
-	c := &Sidecar{settings: s, adapter: adapter, log: log, metrics: metrics.New(), serveErrors: make(chan error, 1)}
+	c := &Sidecar{settings: s, adapter: adapter, log: log, startedAt: now, metrics: metrics.New(), serveErrors: make(chan error, 1)}
 	c.requests, c.endRequests = context.WithCancelCause(context.Background())
 	c.faults = &fault.Recorder{Log: log, Count: c.metrics.IncrementCounter}
 	c.mesh = link.New(nil, nil, c)
@@ -192,7 +193,7 @@
 	c.retryRounding = float64(xxhash.Sum64String(s.PeerAddress.String())) / math.MaxUint64
 	c.quotaEnforcer = &quotas.Enforcer{
 		Self: s.PeerAddress, Mesh: c.mesh, Nodes: c.discovery.NodeCount, Homes: c.discovery.Homes, Snapshot: c.syncer.Snapshot, Log: log,
-		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp,
+		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp, View: c.view,
 	}
 	if adapter.EvacuationKey != "" {
 		c.evacuation = &evacuation.Watcher{
