Bound the time to come back that a home which is cut off names

A home that hands out a small part of the fleet stretches the time until its next token by that part. With a limit near zero and more than 292 nodes it overflowed, differently on arm64 and on x86-64. Found by reading; quota.Stretch has the bound that a bucket has, and TestStretch the cases.

--- a/internal/limit/quota/clock.go
+++ b/internal/limit/quota/clock.go
@@ -24,3 +24,8 @@
 	c.share = share
 	return c.at
 }
+
+// Stretch returns the time in which a clock goes on by d while the share stays as it is, maxWait at most.
+func Stretch(d time.Duration, share float64) time.Duration {
+	return time.Duration(min(float64(d)/share, float64(maxWait)))
+}
--- a/internal/limit/quota/clock_test.go
+++ b/internal/limit/quota/clock_test.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// TestStretch guards against a time to come back that overflows where a home is cut off from a large fleet.
+func TestStretch(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	tests := []struct {
+		wait  time.Duration
+		share float64
+		want  time.Duration
+	}{
+		{0, 0.25, 0},
+		{time.Second, 1, time.Second},
+		{time.Second, 0.25, 4 * time.Second},
+		{year, 1.0 / 4900, year},
+		{year, 0, year},
+	}
+	for _, tt := range tests {
+		if got := quota.Stretch(tt.wait, tt.share); got != tt.want {
+			t.Errorf("%s with a share of %g: got %s, want %s", tt.wait, tt.share, got, tt.want)
+		}
+	}
+}
+
 // TestClock_Read_parts plays a customer that sends all it can through a fleet that falls into two parts again and again. The
 // home notices after some time; the nodes that do not reach it use their shares at once. In no window may more be admitted
 // than the limit, the burst, and what both parts use until the home has noticed.
--- a/internal/node/quotas/enforcer.go
+++ b/internal/node/quotas/enforcer.go
@@ -245,7 +245,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wait := bucket(&s.homes, customer).Take(at, l.Rate, float64(l.Burst))
-	return grant{admitted: wait == 0, wait: time.Duration(float64(wait) / share)}
+	return grant{admitted: wait == 0, wait: quota.Stretch(wait, share)}
 }
 
 // readClock returns the time by which the buckets of this home fill up, and the part of the
