--- a/internal/node/executor/crash_test.go
+++ b/internal/node/executor/crash_test.go
@@ -234,9 +234,9 @@
 }
 
 // TestExecutor_Run_crash_abandoned guards against a crash that is blamed on bystanders alone, because the request
-// that caused it had just been stopped or left by its caller: the backend server may have gone on.
+// that caused it had just been stopped or left by its caller: the backend server may have gone on, until it crashed.
 func TestExecutor_Run_crash_abandoned(t *testing.T) {
-	for _, after := range []time.Duration{0, time.Second} {
+	for _, after := range []time.Duration{0, 200 * time.Millisecond, time.Second} {
 		s := startFragile(t, func(*fragileServer, net.Conn, string) { <-t.Context().Done() })
 		ex, q := newFragileExecutor(t, s)
 		var wg sync.WaitGroup
@@ -250,11 +250,18 @@
 		s.crash()
 		wg.Wait()
 		want := 2
-		if after > 0 {
+		if after == time.Second {
 			want = 1
 		}
-		if got := q.reported(); len(got) != 1 || len(got[0]) != want {
+		got := q.reported()
+		if len(got) != 1 || len(got[0]) != want {
 			t.Errorf("%s after the run was stopped: got crashes %v, want %d requests in one", after, got, want)
+			continue
+		}
+		for _, r := range got[0] {
+			if r.Ran < after {
+				t.Errorf("%s after the run was stopped: got a run of %s until the crash, want at least as long", after, r.Ran)
+			}
 		}
 	}
 }
