--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -20,6 +20,8 @@
 	Delay   time.Duration // Delay before each chunk of bytes, in both directions.
 	CutTo   bool          // Hold back bytes to the target until the fault ends.
 	CutFrom bool          // Hold back bytes from the target until the fault ends.
+
+	Bandwidth int // Bytes per second in each direction, which all connections share; zero for no limit.
 }
 
 // Relay accepts connections on one address and forwards them to another. Use New to
@@ -34,9 +36,20 @@
 	changed    chan struct{} // Closed when fault changes.
 	conns      map[*net.TCPConn]struct{}
 	closed     bool
+	freeTo     time.Time // When the bytes to the target that have been read are through at the bandwidth.
+	freeFrom   time.Time // The same for the bytes from the target.
 	goroutines sync.WaitGroup
 }
 
+// direction is one of the two directions of the bytes.
+type direction int
+
+// The directions.
+const (
+	toTarget direction = iota
+	fromTarget
+)
+
 // New listens on an address and forwards connections to the target until Close.
 func New(listen, target netip.AddrPort) (*Relay, error) {
 	l, err := net.Listen("tcp", listen.String())
@@ -128,10 +141,10 @@
 	var ends sync.WaitGroup
 	toEnded, fromEnded := make(chan struct{}), make(chan struct{})
 	ends.Go(func() {
-		r.copyUntilEnd(to, from, toEnded, fromEnded, func(f Fault) bool { return f.CutTo })
+		r.copyUntilEnd(to, from, toEnded, fromEnded, toTarget)
 	})
 	ends.Go(func() {
-		r.copyUntilEnd(from, to, fromEnded, toEnded, func(f Fault) bool { return f.CutFrom })
+		r.copyUntilEnd(from, to, fromEnded, toEnded, fromTarget)
 	})
 	ends.Wait()
 }
@@ -139,8 +152,8 @@
 // copyUntilEnd copies bytes in one direction and closes ended after the last. If to was closed by
 // its process, the connections are reset only once the bytes that it sent before have been
 // passed on.
-func (r *Relay) copyUntilEnd(to, from *net.TCPConn, ended chan<- struct{}, otherEnded <-chan struct{}, isCut func(Fault) bool) {
-	open := r.copyDirection(to, from, isCut)
+func (r *Relay) copyUntilEnd(to, from *net.TCPConn, ended chan<- struct{}, otherEnded <-chan struct{}, d direction) {
+	open := r.copyDirection(to, from, d)
 	close(ended)
 	if !open {
 		<-otherEnded
@@ -187,11 +200,11 @@
 // copyDirection copies bytes in one direction until the end of the stream. It passes
 // on a half-close, and resets both connections if from fails. It returns false if to
 // has been closed.
-func (r *Relay) copyDirection(to, from *net.TCPConn, isCut func(Fault) bool) (open bool) {
+func (r *Relay) copyDirection(to, from *net.TCPConn, d direction) (open bool) {
 	buf := make([]byte, maxChunkSize)
 	for {
 		n, err := from.Read(buf)
-		r.waitForFault(isCut)
+		r.waitForFault(d, n)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return false
@@ -209,16 +222,44 @@
 	}
 }
 
-// waitForFault waits while isCut holds for the current fault, and then for the delay.
-func (r *Relay) waitForFault(isCut func(Fault) bool) {
+// waitForFault waits while the direction is cut, then for the delay, and then until n more bytes
+// are through at the bandwidth.
+func (r *Relay) waitForFault(d direction, n int) {
 	for {
 		r.mu.Lock()
 		f, changed := r.fault, r.changed
 		r.mu.Unlock()
-		if !isCut(f) {
+		if !f.isCut(d) {
 			time.Sleep(f.Delay)
+			time.Sleep(r.reserve(f, d, n))
 			return
 		}
 		<-changed
 	}
 }
+
+func (f Fault) isCut(d direction) bool {
+	if d == toTarget {
+		return f.CutTo
+	}
+	return f.CutFrom
+}
+
+// reserve returns the time until n more bytes are through at the bandwidth of the fault.
+func (r *Relay) reserve(f Fault, d direction, n int) time.Duration {
+	if f.Bandwidth <= 0 {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	free := &r.freeTo
+	if d == fromTarget {
+		free = &r.freeFrom
+	}
+	now := time.Now()
+	if free.Before(now) {
+		*free = now
+	}
+	*free = free.Add(time.Duration(n) * time.Second / time.Duration(f.Bandwidth))
+	return free.Sub(now)
+}
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -178,3 +178,18 @@
 		t.Error("got nothing from the target after the end of the other direction")
 	}
 }
+
+// TestRelay_Set_bandwidth checks that connections share the bandwidth of a direction.
+func TestRelay_Set_bandwidth(t *testing.T) {
+	r, caller, target := connectThroughRelay(t)
+	const size, bandwidth = 100_000, 400_000
+	r.Set(relay.Fault{Bandwidth: bandwidth})
+	sent := time.Now()
+	go func() { _, _ = caller.Write(make([]byte, size)) }()
+	if _, err := io.ReadFull(target, make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := time.Since(sent), time.Second*size/bandwidth; got < want {
+		t.Errorf("got %d bytes in %s, want at least %s", size, got, want)
+	}
+}
