Transfer the configuration between nodes in pieces, for as long as it makes progress

Cause: each transfer of the whole value had 0.5 s, which a link of 10 Mbit/s needs for half a megabyte. One that ran out of time lost what had come and led to another one, so that failing made load.

Peers of older releases are asked for the whole as before. Why it works: no limit is on the whole any more, and no byte that came is asked for again.

--- a/internal/node/configsync/configsync.go
+++ b/internal/node/configsync/configsync.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -18,22 +17,25 @@
 
 	"filbertturn.example/filbertturn/internal/clock/latch"
 	"filbertturn.example/filbertturn/internal/clock/timer"
+	"filbertturn.example/filbertturn/internal/config/assembly"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/config/source"
+	"filbertturn.example/filbertturn/internal/config/turn"
 	"filbertturn.example/filbertturn/internal/fleet/superpeer"
 	"filbertturn.example/filbertturn/internal/node/kvstore"
 	"filbertturn.example/filbertturn/internal/node/leftout"
 	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/pack"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
 )
 
 const (
-	// requestTimeout is the timeout for a request to the store or a peer. The store
-	// answers within milliseconds, and a dead connection must be detected soon enough
-	// for another request.
-	requestTimeout = 500 * time.Millisecond
+	// maxReadTime bounds a read of the store that makes progress: the longest value takes a second on a
+	// link of 10 Mbit/s that has nothing else to do.
+	maxReadTime = 5 * time.Second
 
 	// maxJitter is the maximum random delay that spreads the requests of nodes whose
 	// confirmations have the same age.
@@ -51,13 +53,6 @@
 	// configuration: it joins and makes one more call. A node that takes longer may take
 	// much longer, so its callers should get an error at once.
 	startTimeout = joinTimeout
-
-	// oddPeerPause is the time for which no configuration is fetched from a peer whose
-	// configuration is not the one that it announced, or cannot be used.
-	oddPeerPause = 10 * time.Second
-
-	// maxReportedAge bounds the age of a proof that a peer reports.
-	maxReportedAge = time.Hour
 )
 
 // Syncer keeps the configuration in sync with one key of the store. The exported fields
@@ -70,6 +65,10 @@
 	Log    zerolog.Logger
 
 	LeftOut *leftout.Reporter // Of configurations that cannot be used; nil for none.
+	Count   func(name string) // Adds one to a counter, unless nil.
+
+	// Turns bounds the nodes that fetch from this one at the same time.
+	Turns turn.Turns
 
 	Self netip.AddrPort
 
@@ -85,13 +84,17 @@
 	loaded     latch.Latch // Set once there is a configuration.
 	fetching   atomic.Bool // A fetch from a peer is in progress.
 	superPeers superpeer.Selector
+	packer     pack.Packer
+	received   atomic.Int64 // Bytes of configurations from peers.
+	sent       atomic.Int64 // Bytes of configurations to peers.
 
 	mu        sync.Mutex // Guards the fields below.
 	startedAt time.Time  // Time at which Run was called.
 	tracker   freshness.Tracker
-	value     []byte                       // The encoded configuration, as the operator wrote it.
-	lastRead  []byte                       // The value that the last read of the store returned; nil before the first.
-	oddPeers  map[netip.AddrPort]time.Time // Ends of the pauses of peers.
+	content   *content           // The encoded configuration in force; nil before the first.
+	partial   *assembly.Assembly // What came of a newer configuration; nil if nothing did.
+	lastRead  []byte             // The value that the last read of the store returned; nil before the first.
+	sources   source.Sources
 }
 
 // Snapshot returns the configuration, or nil before the first.
@@ -182,12 +185,6 @@
 	sy.ObserveStamp(superPeer, asked, freshness.Stamp{Version: m.GetVersion(), Age: time.Duration(m.GetAgeNanos())})
 }
 
-// AnswerFreshness returns the encoded freshness stamp to a neighbour.
-func (sy *Syncer) AnswerFreshness(now time.Time) ([]byte, error) {
-	s := sy.Stamp(now)
-	return proto.Marshal(&peerpb.Freshness{Version: s.Version, AgeNanos: int64(s.Age)})
-}
-
 // logReachability logs that the store became reachable, or unreachable with err.
 func (sy *Syncer) logReachability(err error) {
 	if err == nil {
@@ -199,7 +196,7 @@
 
 // readStore reads the configuration from the store, and applies it if it changed.
 func (sy *Syncer) readStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	asked := time.Now()
 	result, err := sy.Store.Get(ctx, sy.Key)
@@ -229,7 +226,7 @@
 	if isKnown {
 		return
 	}
-	if err := sy.apply(item.Value, asked, "store"); err != nil {
+	if err := sy.apply(&content{value: item.Value}, asked, "store"); err != nil {
 		sy.LeftOut.Report(asked, "configuration", item.Key, item.Revision, err)
 	}
 	sy.mu.Lock()
@@ -237,120 +234,13 @@
 	sy.lastRead = item.Value
 }
 
-// ObserveStamp observes the freshness stamp in a peer's reply, whose age is relative to
-// asked, the time of the request. It fetches the peer's configuration if that is newer.
-func (sy *Syncer) ObserveStamp(from netip.AddrPort, asked time.Time, s freshness.Stamp) {
-	sy.mu.Lock()
-	effect := sy.tracker.OnStamp(asked, s)
-	sy.mu.Unlock()
-	if newer, ok := effect.(freshness.FetchFromPeer); ok && !sy.isOdd(asked, from) && sy.fetching.CompareAndSwap(false, true) {
-		go sy.fetchNewer(from, newer.Version)
-	}
-}
-
-// isOdd reports whether the configuration of a peer could not be used a short while ago.
-func (sy *Syncer) isOdd(now time.Time, a netip.AddrPort) bool {
-	sy.mu.Lock()
-	defer sy.mu.Unlock()
-	return now.Before(sy.oddPeers[a])
-}
-
-// leaveOut reports that the configuration of a peer cannot be used, and does not ask it for a
-// while.
-func (sy *Syncer) leaveOut(now time.Time, from netip.AddrPort, err error) {
-	sy.LeftOut.Report(now, "configuration of a node", from.String(), 0, err)
-	sy.mu.Lock()
-	defer sy.mu.Unlock()
-	maps.DeleteFunc(sy.oddPeers, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
-	if sy.oddPeers == nil {
-		sy.oddPeers = make(map[netip.AddrPort]time.Time)
-	}
-	sy.oddPeers[from] = now.Add(oddPeerPause)
-}
-
-// BootstrapFrom fetches the configuration of a node that introduced itself, unless this node
-// has one already.
-func (sy *Syncer) BootstrapFrom(from netip.AddrPort) {
-	if sy.Snapshot() == nil && !sy.isOdd(time.Now(), from) && sy.fetching.CompareAndSwap(false, true) {
-		go sy.fetchFirst(from)
-	}
-}
-
-// fetchFirst fetches the first configuration from a peer, which may have none either. Run
-// goes on asking for one in the meantime.
-func (sy *Syncer) fetchFirst(from netip.AddrPort) {
-	defer sy.fetching.Store(false)
-	if err := sy.fetch(from); err != nil {
-		sy.Log.Debug().Err(err).Stringer("From", from).Msg("cannot fetch a first configuration from a peer")
-	}
-}
-
-// fetchNewer fetches the newer configuration of a peer, or reads the store if that fails.
-func (sy *Syncer) fetchNewer(from netip.AddrPort, version uint64) {
-	defer sy.fetching.Store(false)
-	err := sy.fetch(from)
-	if err == nil {
-		if got := sy.Stamp(time.Now()).Version; got < version {
-			sy.leaveOut(time.Now(), from, fmt.Errorf("peer announced the version %d, and the newest version is %d", version, got))
-		}
-		return
-	}
-	sy.Log.Info().Err(err).Stringer("From", from).Msg("cannot fetch the configuration of a peer; reading the store")
-	if err := sy.readStore(context.Background()); err != nil {
-		sy.Log.Warn().Err(err).Msg("cannot read the newer configuration yet")
-	}
-}
-
-// fetch fetches the configuration of a peer and applies it.
-func (sy *Syncer) fetch(from netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-	defer cancel()
-	asked := time.Now()
-	reply, err := sy.Mesh.Ask(ctx, from, question.Configuration, nil)
-	if err != nil {
-		return err
-	}
-	var m peerpb.Configuration
-	if err := proto.Unmarshal(reply, &m); err != nil {
-		sy.leaveOut(asked, from, err)
-		return err
-	}
-	if len(m.GetValue()) == 0 {
-		return fmt.Errorf("peer %s has no configuration", from)
-	}
-	if err := sy.apply(m.GetValue(), asked.Add(-reportedAge(m.GetFreshness())), from.String()); err != nil {
-		sy.leaveOut(asked, from, err)
-		return err
-	}
-	return nil
-}
-
-// reportedAge returns the age of a proof that a peer reports, the greatest one if it is none.
-func reportedAge(f *peerpb.Freshness) time.Duration {
-	age := time.Duration(f.GetAgeNanos())
-	if age < 0 || age > maxReportedAge {
-		return maxReportedAge
-	}
-	return age
-}
-
-// AnswerConfiguration returns the encoded configuration and its freshness stamp to a peer.
-func (sy *Syncer) AnswerConfiguration(now time.Time) ([]byte, error) {
-	sy.mu.Lock()
-	defer sy.mu.Unlock()
-	s := sy.tracker.Stamp(now)
-	return proto.Marshal(&peerpb.Configuration{
-		Value: sy.value, Freshness: &peerpb.Freshness{Version: s.Version, AgeNanos: int64(s.Age)},
-	})
-}
-
 // apply makes an encoded configuration the running one if it is newer. The value was
 // the newest at the time at. The source is logged.
-func (sy *Syncer) apply(value []byte, at time.Time, source string) error {
-	if len(value) == 0 {
+func (sy *Syncer) apply(c *content, at time.Time, source string) error {
+	if len(c.value) == 0 {
 		return fmt.Errorf("configuration from %s is empty", source)
 	}
-	version, s, err := sy.Decode(value)
+	version, s, err := sy.Decode(c.value)
 	if err != nil {
 		return err
 	}
@@ -359,7 +249,7 @@
 	running := sy.tracker.Version()
 	newer := version > running || sy.snapshot.Load() == nil
 	if newer {
-		sy.value = value
+		sy.content, sy.partial = c, nil
 		sy.snapshot.Store(compiled)
 		sy.loaded.Set()
 	}
@@ -367,7 +257,7 @@
 	sy.mu.Unlock()
 	switch {
 	case newer:
-		sy.Log.Info().Uint64("Version", version).Str("Source", source).Dur("ProofAge", time.Since(at)).
+		sy.Log.Info().Uint64("Version", version).Str("Source", source).Dur("ProofAge", time.Since(at)).Int("Bytes", len(c.value)).
 			Int("Routes", len(s.Routes)).Int("Customers", len(s.Customers)).Msg("configuration in force")
 	case version < running:
 		sy.Log.Warn().Uint64("Version", version).Str("Source", source).Uint64("InForce", running).Msg("older configuration than the one in force ignored")
--- a/internal/node/configsync/odd_test.go
+++ b/internal/node/configsync/odd_test.go
@@ -12,15 +12,19 @@
 	"testing"
 	"time"
 
+	"github.com/klauspost/compress/zstd"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"filbertturn.example/filbertturn/internal/config/chunk"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/node/kvstore"
 	"filbertturn.example/filbertturn/internal/node/leftout"
 	"filbertturn.example/filbertturn/internal/peer/link"
+	"filbertturn.example/filbertturn/internal/peer/pack"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/peer/question"
 )
 
 // oneKey is a store with the configuration only.
@@ -76,18 +80,28 @@
 	return strings.Count(b.buf.String(), text)
 }
 
-// peer answers questions with what a test chooses.
+func (b *lockedBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// peer answers questions with what a test chooses. It does not know the kinds without a reply.
 type peer struct {
-	mu    sync.Mutex
-	reply []byte
-	asked int
+	mu      sync.Mutex
+	replies map[question.Kind][]byte
+	asked   int // Questions that it knows.
 }
 
-func (p *peer) Answer(context.Context, uint32, []byte) ([]byte, error) {
+func (p *peer) Answer(_ context.Context, kind uint32, _ []byte) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	reply, ok := p.replies[kind]
+	if !ok {
+		return nil, errors.New("unknown question")
+	}
 	p.asked++
-	return p.reply, nil
+	return reply, nil
 }
 
 func (p *peer) Serve(context.Context, *peerpb.RequestHead, *link.Stream) {}
@@ -155,8 +169,9 @@
 	for _, age := range []int64{math.MinInt64, -1, -int64(time.Hour), math.MaxInt64} {
 		var log lockedBuffer
 		sy, _, p, address := newSyncer(t, &log)
-		p.reply, _ = proto.Marshal(&peerpb.Configuration{Value: []byte("vvvv"), Freshness: &peerpb.Freshness{Version: 4, AgeNanos: age}})
-		if err := sy.fetch(address); err != nil || sy.Snapshot().Revision() != 4 {
+		reply, _ := proto.Marshal(&peerpb.Configuration{Value: []byte("vvvv"), Freshness: &peerpb.Freshness{Version: 4, AgeNanos: age}})
+		p.replies = map[question.Kind][]byte{question.Configuration: reply}
+		if err := sy.fetch(t.Context(), address); err != nil || sy.Snapshot().Revision() != 4 {
 			t.Fatalf("age of %d: got %v", age, err)
 		}
 		if got := sy.tracker.NextTick(true); got.After(time.Now().Add(time.Second)) {
@@ -168,25 +183,36 @@
 // TestSyncer_ObserveStamp_odd guards against asking a peer again and again that announces a newer version
 // than it has, or has one that cannot be used, and reading the store each time.
 func TestSyncer_ObserveStamp_odd(t *testing.T) {
+	noMessage := []byte("\xff\xff\xff")
 	tests := []struct {
-		desc  string
-		reply []byte
+		desc      string
+		replies   map[question.Kind][]byte
+		questions int
 	}{
-		{"an older version", encodeConfiguration("vv")},
-		{"a value that cannot be decoded", encodeConfiguration("odd")},
-		{"not a message", []byte("\xff\xff\xff")},
+		{"an older version", whole(encodeConfiguration("vv")), 1},
+		{"a value that cannot be decoded", whole(encodeConfiguration("odd")), 1},
+		{"not a message", whole(noMessage), 1},
+		{"manifest of an older version", inPieces(encodeManifest("vv", 2, 2), nil), 1},
+		{"manifest of other sizes", inPieces(encodeManifest("vvvv", 4, 1<<20), nil), 1},
+		{"manifest that is not a message", inPieces(noMessage, nil), 1},
+		{"pieces of another value", inPieces(encodeManifest("vvvv", 4, 4), encodePieces("wwww")), 2},
+		{"pieces that are too short", inPieces(encodeManifest("vvvv", 4, 4), encodePieces("vv")), 2},
+		{"pieces of a value that cannot be decoded", inPieces(encodeManifest("odd!", 4, 4), encodePieces("odd!")), 2},
+		{"pieces that cannot be unpacked", inPieces(encodeManifest("vvvv", 4, 4), encodeContent([]byte("no frame"))), 2},
+		{"pieces that are too long", inPieces(encodeManifest("vvvv", 4, 4), encodePieces(strings.Repeat("v", pack.MaxSize))), 2},
+		{"pieces that are not a message", inPieces(encodeManifest("vvvv", 4, 4), noMessage), 2},
 	}
 	for _, tt := range tests {
 		var log lockedBuffer
 		sy, s, p, address := newSyncer(t, &log)
-		p.reply = tt.reply
+		p.replies = tt.replies
 		before := s.readCount()
 		for range 20 {
 			sy.ObserveStamp(address, time.Now(), freshness.Stamp{Version: math.MaxUint64})
 			time.Sleep(20 * time.Millisecond)
 		}
-		if got := p.askedCount(); got != 1 {
-			t.Errorf("%s: got %d questions, want 1", tt.desc, got)
+		if got := p.askedCount(); got != tt.questions {
+			t.Errorf("%s: got %d questions, want %d", tt.desc, got, tt.questions)
 		}
 		if got := s.readCount() - before; got > 1 {
 			t.Errorf("%s: got %d reads of the store, want 1 at most", tt.desc, got)
@@ -202,16 +228,47 @@
 	return b
 }
 
+// whole returns the replies of a peer whose release knows no pieces.
+func whole(reply []byte) map[question.Kind][]byte {
+	return map[question.Kind][]byte{question.Configuration: reply}
+}
+
+// inPieces returns the replies of a peer that has one manifest, and one reply for all pieces.
+func inPieces(manifest, pieces []byte) map[question.Kind][]byte {
+	return map[question.Kind][]byte{question.Manifest: manifest, question.Pieces: pieces}
+}
+
+// encodeManifest returns the manifest of a value that is a single piece, with a size that may be wrong.
+func encodeManifest(value string, version uint64, size uint32) []byte {
+	a := chunk.AddressOf([]byte(value))
+	b, _ := proto.Marshal(&peerpb.Manifest{Addresses: a[:], Sizes: []uint32{size}, Freshness: &peerpb.Freshness{Version: version}})
+	return b
+}
+
+func encodePieces(content string) []byte {
+	encoder, _ := zstd.NewWriter(nil)
+	return encodeContent(encoder.EncodeAll([]byte(content), nil))
+}
+
+func encodeContent(packed []byte) []byte {
+	b, _ := proto.Marshal(&peerpb.Pieces{Content: packed})
+	return b
+}
+
 func FuzzSyncer_fetch(f *testing.F) {
-	f.Add(encodeConfiguration("vvvv"))
-	f.Add([]byte{})
-	f.Fuzz(func(t *testing.T, reply []byte) {
+	f.Add(encodeConfiguration("vvvv"), []byte{}, []byte{})
+	f.Add([]byte{}, []byte{}, []byte{})
+	f.Add([]byte{}, encodeManifest("vvvv", 4, 4), encodePieces("vvvv"))
+	f.Fuzz(func(t *testing.T, reply, manifest, pieces []byte) {
 		var log lockedBuffer
 		sy, _, p, address := newSyncer(t, &log)
-		p.reply = reply
-		_ = sy.fetch(address)
+		p.replies = inPieces(manifest, pieces)
+		if len(manifest) == 0 {
+			p.replies = whole(reply)
+		}
+		_ = sy.fetch(t.Context(), address)
 		if got := sy.Snapshot().Revision(); got < 3 || sy.tracker.NextTick(true).After(time.Now().Add(time.Second)) {
-			t.Errorf("%q: got the version %d", reply, got)
+			t.Errorf("%q, %q, %q: got the version %d", reply, manifest, pieces, got)
 		}
 	})
 }
--- a/internal/node/kvstore/kvstore.go
+++ b/internal/node/kvstore/kvstore.go
@@ -43,7 +43,8 @@
 
 // Store is a key-value store with leases. Reads are linearizable unless stated otherwise.
 type Store interface {
-	// Get returns the item of a key, or no item if the key does not exist.
+	// Get returns the item of a key, or no item if the key does not exist. It ends once no part of the response has
+	// arrived for a while, however long the whole takes.
 	Get(ctx context.Context, key string) (Result, error)
 	// List returns the items whose keys begin with prefix. A stale list costs less and may
 	// be seconds old.
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -109,6 +109,16 @@
 	return uint32(min(s.Cores*100, s.LinkBandwidth))
 }
 
+// fetchers returns the number of nodes that may fetch the configuration at the same time: one for each
+// 5 Mbit/s of the VM's link, at least two. It is zero if the bandwidth is unknown.
+func (s Settings) fetchers() int {
+	const perFetcher, least = 5, 2
+	if s.LinkBandwidth <= 0 {
+		return 0
+	}
+	return max(int(s.LinkBandwidth/perFetcher), least)
+}
+
 // Adapter holds the platform's implementations of what a node needs.
 type Adapter struct {
 	Store               kvstore.Store
@@ -158,7 +168,9 @@
 	c.mesh = link.New(nil, nil, c)
 	c.mesh.Faults = c.faults
 	c.leftOut = &leftout.Reporter{Log: log, Count: c.metrics.IncrementCounter}
-	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, LeftOut: c.leftOut, Self: s.PeerAddress}
+	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, LeftOut: c.leftOut, Self: s.PeerAddress,
+		Count: c.metrics.IncrementCounter}
+	c.syncer.Turns.Limit = s.fetchers()
 	c.fleetKey = &fleetkey.Keeper{Self: s.PeerAddress, Store: adapter.Store, Mesh: c.mesh, Log: log, LeftOut: c.leftOut}
 	c.guard = &quarantine.Guard{
 		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Log: log, LeftOut: c.leftOut, Count: c.metrics.IncrementCounter,
@@ -281,6 +293,10 @@
 		return c.syncer.AnswerFreshness(time.Now())
 	case question.Configuration:
 		return c.syncer.AnswerConfiguration(time.Now())
+	case question.Manifest:
+		return c.syncer.AnswerManifest(time.Now())
+	case question.Pieces:
+		return c.syncer.AnswerPieces(time.Now(), payload)
 	case question.Evacuation:
 		if c.evacuation != nil {
 			return c.evacuation.Answer(time.Now())
@@ -436,6 +452,8 @@
 		return 0
 	})
 	c.metrics.RegisterGauge("config_age_milliseconds", func() int64 { return c.syncer.Stamp(time.Now()).Age.Milliseconds() })
+	c.metrics.RegisterGauge("configuration_received_bytes", func() int64 { received, _ := c.syncer.Traffic(); return received })
+	c.metrics.RegisterGauge("configuration_sent_bytes", func() int64 { _, sent := c.syncer.Traffic(); return sent })
 	c.metrics.RegisterGauge("requests_at_backend_server", func() int64 { return int64(c.executor.InFlight()) })
 	c.metrics.RegisterGauge("backend_server_limit_per_minute", func() int64 {
 		if interval := c.executor.Load(time.Now()).LimitInterval; interval > 0 {
--- a/internal/peer/question/question.go
+++ b/internal/peer/question/question.go
@@ -17,7 +17,7 @@
 	Presence                         // Presence and load of the sender; the reply is the peer's.
 	Tokens                           // Tokens of a customer's limit for a single request.
 	Freshness                        // Version and age of the configuration that the peer runs.
-	Configuration                    // Configuration that the peer runs.
+	Configuration                    // Configuration that the peer runs, as a whole; for nodes of releases that know no pieces.
 	Loads                            // Loads of backend servers; the reply holds those that the peer knows.
 	SubstituteTokens                 // Tokens of a customer whose home does not answer the sender.
 	PooledRetry                      // One retry from the pooled retry budget of a service.
@@ -25,4 +25,6 @@
 	Blame                            // Crashes of backend servers and the requests that ran there.
 	Trial                            // Whether a suspected request may run, or that its run has ended.
 	FleetKey                         // Key of the fingerprints of requests.
+	Manifest                         // Manifest of the configuration that the peer runs.
+	Pieces                           // Pieces of the configuration that the peer runs.
 )
