Ask a peer for the whole configuration only if its release knows no pieces

A peer that answered the manifest and then failed was asked for the whole value, which is the load that pieces avoid. Found by a mutant: TestSyncer_fetch_partial passed without the pieces that are kept, because the whole came from the peer that failed. Now the error of the manifest alone leads to the whole, and the test checks that no such question is asked; it fails without the kept pieces.

--- a/internal/node/configsync/fetch.go
+++ b/internal/node/configsync/fetch.go
@@ -65,6 +65,7 @@
 	errBusy     = errors.New("peer serves other nodes")
 	errReplaced = errors.New("peer has another configuration than a moment before")
 	errNoNewer  = errors.New("peer has no newer configuration")
+	errNoPieces = errors.New("release of the peer knows no pieces")
 )
 
 // ObserveStamp observes the freshness stamp in a peer's reply, whose age is relative to
@@ -160,8 +161,7 @@
 	began := time.Now()
 	var r fetchReport
 	err := sy.fetchManifest(ctx, from, &r)
-	var unknown *link.PeerError
-	if errors.As(err, &unknown) {
+	if errors.Is(err, errNoPieces) {
 		err = sy.fetchWhole(ctx, from, &r)
 	}
 	sy.received.Add(int64(r.received))
@@ -206,6 +206,10 @@
 func (sy *Syncer) fetchManifest(ctx context.Context, from netip.AddrPort, r *fetchReport) error {
 	asked := time.Now()
 	reply, err := sy.ask(ctx, from, question.Manifest, nil, manifestTimeout)
+	var unknown *link.PeerError
+	if errors.As(err, &unknown) {
+		return errNoPieces
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/node/configsync/fetch_test.go
+++ b/internal/node/configsync/fetch_test.go
@@ -172,6 +172,9 @@
 	for m[2].fetching.Load() {
 		time.Sleep(time.Millisecond)
 	}
+	if got := m[0].askedCount(question.Configuration); got != 0 {
+		t.Errorf("got %d questions for the whole configuration, want none", got)
+	}
 	m[2].hear(m[1])
 	m[2].await(t, m[1], 2*time.Second)
 	batches := (len(value) + maxBatch - 1) / maxBatch
