--- a/internal/node/configsync/answer.go
+++ b/internal/node/configsync/answer.go
@@ -16,12 +16,8 @@
 
 // AnswerFreshness returns the encoded freshness stamp to a neighbour.
 func (sy *Syncer) AnswerFreshness(now time.Time) ([]byte, error) {
-	return proto.Marshal(sy.freshness(now))
-}
-
-func (sy *Syncer) freshness(now time.Time) *peerpb.Freshness {
-	s := sy.Stamp(now)
-	return &peerpb.Freshness{Version: s.Version, AgeNanos: int64(s.Age)}
+	_, f := sy.running(now)
+	return proto.Marshal(f)
 }
 
 // running returns the configuration in force with its freshness stamp. The content is nil if there is none.
@@ -59,30 +55,36 @@
 	}
 	raw := c.collect(asked, maxBatch)
 	if len(raw) > freeBytes {
-		var asker netip.AddrPort
-		// An address that cannot be decoded shares the turn of the others of its kind.
-		_ = asker.UnmarshalBinary(q.GetAsker())
-		others, ok := sy.Turns.Take(now, asker)
-		if !ok {
+		if others, ok := sy.takeTurn(now, &q); !ok {
 			sy.count(`configuration_answers_total{outcome="busy"}`)
-			return proto.Marshal(&peerpb.Pieces{Busy: true, Others: encodeAddresses(others, asker)})
-		}
-		if q.GetLast() {
-			sy.Turns.End(asker)
+			return proto.Marshal(&peerpb.Pieces{Busy: true, Others: others})
 		}
 	}
-	packed := c.lookUp(q.GetAddresses())
-	if packed == nil && len(raw) > 0 {
-		if packed, err = sy.packer.Pack(raw); err != nil {
-			return nil, err
-		}
-		c.keep(q.GetAddresses(), packed)
+	packed, err := c.pack(&sy.packer, q.GetAddresses(), raw)
+	if err != nil {
+		return nil, err
 	}
 	sy.sent.Add(int64(len(packed)))
 	sy.count(`configuration_answers_total{outcome="served"}`)
 	return proto.Marshal(&peerpb.Pieces{Content: packed})
 }
 
+// takeTurn reports whether the peer that asks for pieces is served, or returns the encoded addresses of others that
+// may have them.
+func (sy *Syncer) takeTurn(now time.Time, q *peerpb.PieceRequest) (others [][]byte, ok bool) {
+	var asker netip.AddrPort
+	// Peers whose address cannot be decoded share one turn.
+	_ = asker.UnmarshalBinary(q.GetAsker())
+	served, ok := sy.Turns.Take(now, asker)
+	if !ok {
+		return encodeAddresses(served, asker), false
+	}
+	if q.GetLast() {
+		sy.Turns.End(asker)
+	}
+	return nil, true
+}
+
 // encodeAddresses encodes addresses without one of them.
 func encodeAddresses(list []netip.AddrPort, without netip.AddrPort) [][]byte {
 	var encoded [][]byte
--- a/internal/node/configsync/content.go
+++ b/internal/node/configsync/content.go
@@ -5,6 +5,7 @@
 
 	"filbertturn.example/filbertturn/internal/config/chunk"
 	"filbertturn.example/filbertturn/internal/config/piece"
+	"filbertturn.example/filbertturn/internal/peer/pack"
 )
 
 // maxPacked bounds the replies that are kept for nodes that ask for the same pieces.
@@ -48,21 +49,25 @@
 	return all
 }
 
-// lookUp returns a reply that was kept, or nil.
-func (c *content) lookUp(addresses []byte) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.packed[string(addresses)]
-}
-
-// keep keeps a reply.
-func (c *content) keep(addresses, packed []byte) {
+// pack returns the packed form of pieces, which are those of the addresses that were asked for.
+func (c *content) pack(p *pack.Packer, addresses, pieces []byte) ([]byte, error) {
+	if len(pieces) == 0 {
+		return nil, nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if packed := c.packed[string(addresses)]; packed != nil {
+		return packed, nil
+	}
+	packed, err := p.Pack(pieces)
+	if err != nil {
+		return nil, err
+	}
 	if c.packed == nil {
 		c.packed = make(map[string][]byte)
 	}
 	if len(c.packed) < maxPacked {
 		c.packed[string(addresses)] = packed
 	}
+	return packed, nil
 }
--- a/internal/peer/pack/pack.go
+++ b/internal/peer/pack/pack.go
@@ -19,21 +19,10 @@
 // Packer packs and unpacks bytes as zstd frames. Its zero value is ready for use, and it is safe for
 // concurrent use.
 type Packer struct {
-	once    sync.Once
-	encoder *zstd.Encoder
-	decoder *zstd.Decoder
-	err     error
-}
-
-func (p *Packer) start() error {
-	p.once.Do(func() {
-		p.encoder, p.err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderConcurrency(1),
-			zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(windowSize))
-		if p.err == nil {
-			p.decoder, p.err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(MaxSize))
-		}
-	})
-	return p.err
+	startEncoder, startDecoder sync.Once
+	encoder                    *zstd.Encoder
+	decoder                    *zstd.Decoder
+	encoderErr, decoderErr     error
 }
 
 // Pack returns a frame of the content, whose length is at most MaxSize.
@@ -41,16 +30,24 @@
 	if len(content) > MaxSize {
 		return nil, fmt.Errorf("pack: %d bytes, at most %d", len(content), MaxSize)
 	}
-	if err := p.start(); err != nil {
-		return nil, err
+	p.startEncoder.Do(func() {
+		// The faster levels have the smaller tables.
+		p.encoder, p.encoderErr = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+			zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(windowSize))
+	})
+	if p.encoderErr != nil {
+		return nil, p.encoderErr
 	}
 	return p.encoder.EncodeAll(content, nil), nil
 }
 
 // Unpack returns the content of a frame. It returns an error if that is longer than MaxSize.
 func (p *Packer) Unpack(frame []byte) ([]byte, error) {
-	if err := p.start(); err != nil {
-		return nil, err
+	p.startDecoder.Do(func() {
+		p.decoder, p.decoderErr = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(MaxSize))
+	})
+	if p.decoderErr != nil {
+		return nil, p.decoderErr
 	}
 	return p.decoder.DecodeAll(frame, nil)
 }
