Leave out a peer whose pieces are an older version than its manifest says

Seen in reading the change: such a peer was asked again at once, eight times for each of its replies, with a log line each. The value was checked for the whole configuration of an older release and not for one in pieces. Both go through the same check now.

--- a/internal/node/configsync/fetch.go
+++ b/internal/node/configsync/fetch.go
@@ -235,9 +235,17 @@
 	if err != nil {
 		return err
 	}
-	if err := sy.apply(&content{value: value, manifest: manifest}, asked.Add(-reportedAge(m.GetFreshness())), from.String()); err != nil {
+	return sy.applyFetched(&content{value: value, manifest: manifest}, asked, from, m.GetFreshness(), r.version)
+}
+
+// applyFetched applies the configuration of a peer, which said that it has a version.
+func (sy *Syncer) applyFetched(c *content, asked time.Time, from netip.AddrPort, f *peerpb.Freshness, version uint64) error {
+	if err := sy.apply(c, asked.Add(-reportedAge(f)), from.String()); err != nil {
 		return sy.reject(asked, from, err)
 	}
+	if got := sy.Stamp(time.Now()).Version; got < version {
+		return sy.reject(asked, from, fmt.Errorf("%w: peer announced the version %d, and the newest version is %d", errNoNewer, version, got))
+	}
 	return nil
 }
 
@@ -367,13 +375,7 @@
 	sy.mu.Lock()
 	announced := sy.sources.Announced(from)
 	sy.mu.Unlock()
-	if err := sy.apply(&content{value: m.GetValue()}, asked.Add(-reportedAge(m.GetFreshness())), from.String()); err != nil {
-		return sy.reject(asked, from, err)
-	}
-	if got := sy.Stamp(time.Now()).Version; got < announced {
-		return sy.reject(time.Now(), from, fmt.Errorf("%w: peer announced the version %d, and the newest version is %d", errNoNewer, announced, got))
-	}
-	return nil
+	return sy.applyFetched(&content{value: m.GetValue()}, asked, from, m.GetFreshness(), announced)
 }
 
 // ask asks a peer a question, for at most timeout.
--- a/internal/node/configsync/odd_test.go
+++ b/internal/node/configsync/odd_test.go
@@ -198,6 +198,7 @@
 		{"pieces of another value", inPieces(encodeManifest("vvvv", 4, 4), encodePieces("wwww")), 2},
 		{"pieces that are too short", inPieces(encodeManifest("vvvv", 4, 4), encodePieces("vv")), 2},
 		{"pieces of a value that cannot be decoded", inPieces(encodeManifest("odd!", 4, 4), encodePieces("odd!")), 2},
+		{"pieces of an older version than the manifest says", inPieces(encodeManifest("vv", 4, 2), encodePieces("vv")), 2},
 		{"pieces that cannot be unpacked", inPieces(encodeManifest("vvvv", 4, 4), encodeContent([]byte("no frame"))), 2},
 		{"pieces that are too long", inPieces(encodeManifest("vvvv", 4, 4), encodePieces(strings.Repeat("v", pack.MaxSize))), 2},
 		{"pieces that are not a message", inPieces(encodeManifest("vvvv", 4, 4), noMessage), 2},
