Remove a method of assemblies that nothing calls

Read in the change once more: Assembly.Manifest was written for a log line that is not there. The linked program has the same symbols without it.

--- a/internal/config/assembly/assembly.go
+++ b/internal/config/assembly/assembly.go
@@ -101,8 +101,3 @@
 func (a *Assembly) Piece(address chunk.Address) []byte {
 	return a.pieces[address]
 }
-
-// Manifest returns the manifest of the value.
-func (a *Assembly) Manifest() piece.Manifest {
-	return a.manifest
-}
