Let requests wait for tokens of their customer's limit

Callers of a customer that asks for 220 to 440 a second of a limit of 166 for 5 s were refused at once, although they had seconds left and the tokens of the next second would have served them.

The home of a limit keeps a line (limit/waitline): places by priority and time left, tokens spent when they are claimed, refusals at once for what will probably not get its turn. Entries bound what they hold (limit/waitroom) and wait only as long as the route's usual response time leaves of its objective. Requests without an objective are asked for as before. New fields of TokenRequest and TokenGrant; without them nothing changes.

--- a/internal/check/cut/cut_test.go
+++ b/internal/check/cut/cut_test.go
@@ -26,6 +26,7 @@
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/limit/waitline"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
 	"filbertturn.example/filbertturn/internal/node/entry"
 	"filbertturn.example/filbertturn/internal/node/forwarder"
@@ -210,6 +211,7 @@
 	w.WriteHeader(http.StatusBadGateway)
 }
 func (p ports) Admit(context.Context, string) error                        { return nil }
+func (p ports) AdmitWithin(context.Context, string, waitline.Ask) error    { return nil }
 func (p ports) Snapshot() *snapshot.Snapshot                               { return p.snapshot }
 func (p ports) Sequence() uint64                                           { return 1 }
 func (p ports) CheckCurrent(time.Time) *failure.Failure                    { return nil }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -29,9 +29,7 @@
 // returns the time after which to retry. The rate is in requests per second, the
 // burst in requests.
 func (b *Bucket) Take(now time.Time, rate, burst float64) time.Duration {
-	if b.refilledAt.IsZero() {
-		b.level, b.refilledAt = max(initialBurstPart*burst, 1), now
-	}
+	b.begin(now, burst)
 	b.refill(now, rate, burst)
 	return b.take(rate)
 }
@@ -41,11 +39,7 @@
 // patience from its next token, the request is admitted too, and must not be sent
 // before the returned time has passed. TakeShare returns false if it is refused.
 func (b *Bucket) TakeShare(now time.Time, rate float64, nodes int, patience time.Duration) (time.Duration, bool) {
-	rate /= float64(max(nodes, 1))
-	if b.refilledAt.IsZero() {
-		b.level, b.refilledAt = shareBurst, now
-	}
-	b.refill(now, rate, shareBurst)
+	_, rate = b.ShareLevel(now, rate, nodes)
 	wait := b.take(rate)
 	if wait > patience {
 		return wait, false
--- /dev/null
+++ b/internal/limit/waitline/overload_test.go
@@ -0,0 +1,170 @@
+package waitline_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/limit/waitline"
+)
+
+// TestLine_Decide_overload plays a customer with a rate of 166 a second that asks for 220 to 440 a second for 5 s, among 73 customers at
+// 74 nodes, and compares the line with refusing at once. It guards against a line that only delays requests, so
+// that they are answered late, one that lets requests wait in vain, and one that costs other customers anything.
+func TestLine_Decide_overload(t *testing.T) {
+	const length = 40 * time.Second
+	results := make(map[policy]*fleet)
+	for _, p := range []policy{refuse, admitAhead, newest, line} {
+		f, c := play(p, 1, routes, length, burstDemand(5*time.Second))
+		results[p] = f
+		t.Logf("%s: %s", p, f.of("large", ""))
+		for _, r := range routes[:3] {
+			t.Logf("    %s: %s", r.name, f.of("large", r.name))
+		}
+		t.Logf("    others: %s", f.of("other", ""))
+		if got, want := withinRule(c); got > want {
+			t.Errorf("%s: got %d requests in 5 s, want %d at most", p, got, want)
+		}
+	}
+	before, after := results[refuse], results[line]
+	if got, want := after.of("large", "").inTime, before.of("large", "").inTime+60; got < want {
+		t.Errorf("got %d requests answered within their objective, want %d", got, want)
+	}
+	for _, r := range routes[:3] {
+		if got, want := after.of("large", r.name), before.of("large", r.name); float64(got.inTime)/float64(got.asked) < float64(want.inTime)/float64(want.asked) {
+			t.Errorf("%s: got %s, want as many in time as without the line: %s", r.name, got, want)
+		}
+	}
+	if got := after.of("large", ""); got.refusedLate*50 > got.asked {
+		t.Errorf("got %d of %d requests refused after a wait, want one in fifty at most", got.refusedLate, got.asked)
+	}
+	share := func(f *fleet) float64 {
+		o := f.of("other", "")
+		return float64(o.inTime) / float64(o.asked)
+	}
+	if got, want := share(after), share(before)-0.002; got < want {
+		t.Errorf("others: got %.4f in time, want %.4f", got, want)
+	}
+}
+
+// TestLine_Decide_lastingOverload guards against a line that delays all requests for as long as demand exceeds the rate.
+func TestLine_Decide_lastingOverload(t *testing.T) {
+	results := make(map[policy]*result)
+	for _, p := range []policy{refuse, admitAhead, newest, line} {
+		f, _ := play(p, 1, routes, 60*time.Second, burstDemand(40*time.Second))
+		results[p] = f.of("large", "")
+		t.Logf("%s: %s", p, results[p])
+	}
+	got, want := results[line], results[refuse]
+	if float64(got.inTime) < 0.995*float64(want.inTime) {
+		t.Errorf("got %d requests answered within their objective, want as many as without the line, %d, but for 0.5%%", got.inTime, want.inTime)
+	}
+	if got.refusedLate*50 > got.asked {
+		t.Errorf("got %d of %d requests refused after a wait, want one in fifty at most", got.refusedLate, got.asked)
+	}
+	slices.Sort(got.waits)
+	if median := got.waits[len(got.waits)/2]; median > 150*time.Millisecond {
+		t.Errorf("got a median wait of %s, want 150 ms at most", median)
+	}
+}
+
+// TestLine_Decide_kinds plays the same demand with requests that differ in the time that they have, in their priority, or in the release
+// of their entry. It guards against requests that cannot wait, and against priorities that get less than before beside those
+// that wait.
+func TestLine_Decide_kinds(t *testing.T) {
+	tests := []struct {
+		desc   string
+		routes []route
+	}{
+		{"a fifth cannot wait", []route{
+			{"order", 0.8, 2 * time.Second, 580 * time.Millisecond, 0},
+			{"no objective", 0.2, 0, 580 * time.Millisecond, 0},
+		}},
+		{"half cannot wait", []route{
+			{"order", 0.5, 2 * time.Second, 580 * time.Millisecond, 0},
+			{"no objective", 0.5, 0, 580 * time.Millisecond, 0},
+		}},
+		{"half have little time", []route{
+			{"order", 0.5, 5 * time.Second, 580 * time.Millisecond, 0},
+			{"look-up", 0.5, 1500 * time.Millisecond, 560 * time.Millisecond, 0},
+		}},
+	}
+	for _, tt := range tests {
+		before, _ := play(refuse, 1, tt.routes, 50*time.Second, burstDemand(10*time.Second))
+		after, _ := play(line, 1, tt.routes, 50*time.Second, burstDemand(10*time.Second))
+		for _, r := range tt.routes {
+			got, want := after.of("large", r.name), before.of("large", r.name)
+			t.Logf("%s: %s: %s", tt.desc, r.name, want)
+			t.Logf("    with the line: %s", got)
+			if float64(got.admitted) < 0.97*float64(want.admitted) {
+				t.Errorf("%s: %s: got %d requests admitted, want as many as without the line, %d, but for 3%%", tt.desc, r.name, got.admitted, want.admitted)
+			}
+		}
+		if got := after.of("large", ""); got.refusedLate*50 > got.asked {
+			t.Errorf("%s: got %d of %d requests refused after a wait, want one in fifty at most", tt.desc, got.refusedLate, got.asked)
+		}
+	}
+}
+
+// TestLine_Decide_priorities guards against requests of a high priority that wait behind others, and against low ones that wait
+// in vain.
+func TestLine_Decide_priorities(t *testing.T) {
+	list := []route{
+		{"order", 0.4, 2 * time.Second, 580 * time.Millisecond, 1},
+		{"upload", 0.6, 2 * time.Second, 580 * time.Millisecond, 3},
+	}
+	f, _ := play(line, 1, list, 50*time.Second, burstDemand(10*time.Second))
+	high, low := f.of("large", "order"), f.of("large", "upload")
+	t.Logf("high: %s", high)
+	t.Logf("low: %s", low)
+	if got, want := high.admitted*100, 97*high.asked; got < want {
+		t.Errorf("got %d of %d requests of the high priority admitted, want 97%%", high.admitted, high.asked)
+	}
+	if low.refusedLate*20 > low.asked {
+		t.Errorf("got %d of %d requests of the low priority refused after a wait, want one in twenty at most", low.refusedLate, low.asked)
+	}
+}
+
+// TestLine_Decide_lapse guards against tokens that nobody uses, and memory that stays taken, after the entries of waiting requests have
+// ended.
+func TestLine_Decide_lapse(t *testing.T) {
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	ask := waitline.Ask{Wait: time.Second}
+	for i := range 50 {
+		if d := l.Decide(now, waitline.Supply{Rate: 100, Room: true}, ask, uint64(i+1)); d.Place == 0 {
+			t.Fatalf("request %d: got %+v, want a place", i, d)
+		}
+	}
+	now = now.Add(400 * time.Millisecond)
+	if d := l.Decide(now, waitline.Supply{Tokens: 10, Rate: 100, Room: true}, ask, 51); d.Granted {
+		t.Errorf("got a token that others are about to claim")
+	}
+	now = now.Add(400 * time.Millisecond)
+	if d := l.Decide(now, waitline.Supply{Tokens: 10, Rate: 100, Room: true}, ask, 52); !d.Granted {
+		t.Errorf("got %+v, want a token that nobody claims", d)
+	}
+	if got := l.TakeLapsed(); got != 50 && got != 51 {
+		t.Errorf("got %d places lapsed, want all", got)
+	}
+}
+
+// TestLine_Decide_bounds guards against a line without end, and against waits that overflow.
+func TestLine_Decide_bounds(t *testing.T) {
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	for i := range 100_000 {
+		l.Decide(now, waitline.Supply{Rate: 1e6, Room: true}, waitline.Ask{Wait: 1 << 62, Priority: i % 1000}, uint64(i+1))
+	}
+	if got, want := l.Len(), 1024; got > want {
+		t.Errorf("got %d places, want %d at most", got, want)
+	}
+	for _, rate := range []float64{0, 1e-300} {
+		if d := l.Decide(now, waitline.Supply{Rate: rate, Room: true}, waitline.Ask{Wait: time.Second}, 7); d.Place != 0 || d.After <= 0 || d.After > 366*24*time.Hour {
+			t.Errorf("rate %g: got %+v, want a refusal with a bounded time", rate, d)
+		}
+	}
+	if d := new(waitline.Line).Decide(now, waitline.Supply{Rate: 10}, waitline.Ask{Wait: time.Second}, 7); d.Place != 0 {
+		t.Errorf("got the place %d of a home without room, want none", d.Place)
+	}
+}
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/limit/waitline"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
 	"filbertturn.example/filbertturn/internal/request/abort"
 	"filbertturn.example/filbertturn/internal/request/buffer"
@@ -73,6 +74,9 @@
 	// Admit takes a request out of the customer's limit, or returns a
 	// *failure.Failure.
 	Admit(ctx context.Context, customer string) error
+
+	// AdmitWithin is Admit for a request that may wait for a token of the limit.
+	AdmitWithin(ctx context.Context, customer string, a waitline.Ask) error
 }
 
 // Forwarder sends requests to backend servers.
@@ -114,7 +118,8 @@
 	// be identified.
 	Identify func(method, host, target, customer string) *fingerprint.Digest
 
-	held atomic.Int64 // Bytes that may be held of bodies that are read before they are sent.
+	usual usualTimes   // Of responses, by route.
+	held  atomic.Int64 // Bytes that may be held of bodies that are read before they are sent.
 
 	// Configuration returns the configuration, or nil if there is none and none arrives
 	// within maxWait.
@@ -136,6 +141,7 @@
 	route       set.Route
 	customer    set.Customer
 	deadline    time.Time
+	admitted    time.Time // When it was within the customer's limit.
 	request     dispatcher.Request
 	unread      bool                        // Some of the body is left for the run.
 	held        int64                       // Part of Ingress.held that is the request's.
@@ -176,6 +182,7 @@
 		i.recordEnd(rs, 0, f)
 		return
 	}
+	i.recordTime(rs, response.Status)
 	if err := writeResponse(w, response); err != nil {
 		i.recordEnd(rs, response.Status, failure.From(err))
 		abort.Response(w, r)
@@ -289,14 +296,6 @@
 	return nil
 }
 
-// applyLimit takes the request out of the customer's limit.
-func (i *Ingress) applyLimit(ctx context.Context, rs *requestState) error {
-	if rs.customer.Name == "" {
-		return nil
-	}
-	return i.Limiter.Admit(ctx, rs.customer.Name)
-}
-
 // buildRequest builds the request for the forwarder. It removes the headers that must not
 // be forwarded, and those that hold the caller's key.
 func (i *Ingress) buildRequest(rs *requestState) {
@@ -435,6 +434,9 @@
 	e := i.Log.Info().Str("RequestID", rs.caller.ID).Str("Route", rs.route.Name).Str("Service", rs.request.Order.Service).
 		Str("Customer", rs.customer.Name).Uint64("ConfigVersion", version).Int("Status", status).Dur("Took", took).
 		Dur("Bound", rs.deadline.Sub(rs.started))
+	if !rs.admitted.IsZero() {
+		e = e.Dur("Admitted", rs.admitted.Sub(rs.started))
+	}
 	if rs.endCall != nil {
 		e = e.Int("Steps", rs.request.Order.Steps)
 	}
--- a/internal/node/ingress/ingress_test.go
+++ b/internal/node/ingress/ingress_test.go
@@ -14,6 +14,7 @@
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/limit/waitline"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
 	"filbertturn.example/filbertturn/internal/node/ingress"
 	"filbertturn.example/filbertturn/internal/request/dialect"
@@ -27,6 +28,7 @@
 type fakePorts struct {
 	remaining time.Duration // Time that callers have left.
 	orders    []order.Order
+	asks      []waitline.Ask
 	refused   []*failure.Failure
 	calls     int
 	callEnds  []scheduler.CallOutcome
@@ -44,7 +46,11 @@
 func (p *fakePorts) ReadResponse(int, http.Header) dialect.BackendResponse {
 	return dialect.BackendResponse{}
 }
-func (p *fakePorts) Admit(context.Context, string) error                        { return nil }
+func (p *fakePorts) Admit(context.Context, string) error { return nil }
+func (p *fakePorts) AdmitWithin(_ context.Context, _ string, a waitline.Ask) error {
+	p.asks = append(p.asks, a)
+	return nil
+}
 func (p *fakePorts) RecordRequest(string, int, *failure.Failure, time.Duration) {}
 
 func (p *fakePorts) Forward(_ context.Context, r *dispatcher.Request) (*exchange.Response, error) {
--- a/internal/node/quotas/enforcer.go
+++ b/internal/node/quotas/enforcer.go
@@ -11,13 +11,13 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
-	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
@@ -25,6 +25,8 @@
 	"filbertturn.example/filbertturn/internal/fleet/nodetable"
 	"filbertturn.example/filbertturn/internal/fleet/rendezvous"
 	"filbertturn.example/filbertturn/internal/limit/quota"
+	"filbertturn.example/filbertturn/internal/limit/waitline"
+	"filbertturn.example/filbertturn/internal/limit/waitroom"
 	"filbertturn.example/filbertturn/internal/peer/cooldown"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
@@ -78,28 +80,39 @@
 	// configuration, and the time at which that node was asked.
 	OnConfigStamp func(from netip.AddrPort, asked time.Time, s freshness.Stamp)
 
+	// Count adds one to a counter, unless nil.
+	Count func(name string)
+
 	cooldown cooldown.Tracker
 	shards   [shardCount]shard
+	room     waitroom.Room // Requests of this node that wait.
+	places   atomic.Int64  // In all lines.
 
 	mu       sync.Mutex // Guards the fields below.
 	clock    quota.Clock
 	share    float64   // Part of the fleet that this node is in contact with.
 	viewedAt time.Time // Time at which share was determined.
 	askedAt  time.Time // Time of the last question of another node.
+	sweptAt  time.Time // Time of the last search for places that have lapsed.
+
+	linesSince time.Time // When the lines about requests that have waited were counted from.
+	lines      int
 }
 
 // shard holds the buckets of the customers that hash to it.
 type shard struct {
 	mu            sync.Mutex
-	homes         map[string]*quota.Bucket       // By customer: buckets of which this node is the home.
-	shares        map[string]*quota.Bucket       // By customer: buckets of this node's own share.
-	sharedBuckets map[string]*quota.SharedBucket // By customer: combined shares of the nodes that ask this node as substitute.
+	homes         map[string]*quota.Bucket             // By customer: buckets of which this node is the home.
+	shares        map[string]*quota.Bucket             // By customer: buckets of this node's own share.
+	sharedBuckets map[string]*quota.SharedBucket       // By customer: combined shares of the nodes that ask this node as substitute.
+	lines         [roleCount]map[string]*waitline.Line // By customer: requests that wait for a bucket.
 }
 
 // grant is the decision on a request.
 type grant struct {
 	admitted bool
 	wait     time.Duration // Time before which an admitted request must not be sent, or after which to retry a refused one.
+	place    uint64        // Place in a line of a request that is to claim its token after wait; 0 if it does not wait there.
 }
 
 // Admit counts a request against the customer's limit. While the home does not answer, it may
@@ -107,30 +120,7 @@
 // time after which to retry, or one derived from ctx when it ends before. A customer without
 // a limit or with a rate of zero is always admitted.
 func (q *Enforcer) Admit(ctx context.Context, customer string) error {
-	limit, ok := q.Snapshot().Limit(customer)
-	if !ok || limit.Rate <= 0 {
-		return nil
-	}
-	homes := q.Homes()
-	home, _ := rendezvous.Key(customer).Pick(homes)
-	var g grant
-	if home == q.Self {
-		g = q.takeAsHome(time.Now(), customer, limit)
-	} else {
-		g = q.admitRemote(ctx, customer, limit, homes, home)
-	}
-	if !g.admitted || g.wait > patience(ctx) {
-		f := failure.New(kind.LimitReached, "", nil)
-		f.RetryAfter = g.wait
-		return f
-	}
-	if g.wait > 0 {
-		timer.Sleep(ctx, g.wait)
-		if ctx.Err() != nil {
-			return failure.FromContext(ctx, false)
-		}
-	}
-	return nil
+	return q.AdmitWithin(ctx, customer, waitline.Ask{})
 }
 
 // patience returns the time for which a request may wait for a token of a share.
@@ -143,20 +133,35 @@
 }
 
 // admitRemote decides on a request of a customer whose home is another node.
-func (q *Enforcer) admitRemote(ctx context.Context, customer string, l set.Limit, homes []netip.AddrPort, home netip.AddrPort) grant {
-	if g, ok := q.askToken(ctx, home, question.Tokens, customer); ok {
+func (q *Enforcer) admitRemote(ctx context.Context, customer string, l set.Limit, homes []netip.AddrPort, home netip.AddrPort, a waitline.Ask) grant {
+	asked := time.Now()
+	if g, ok := q.askToken(ctx, home, question.Tokens, customer, a); ok {
 		return g
 	}
+	a = remaining(a, asked)
 	switch substitute, ok := q.substitute(customer, homes, home); {
 	case !ok:
 	case substitute == q.Self:
-		return q.takeShared(time.Now(), q.Self, customer, l, q.Nodes(), patience(ctx))
+		return q.takeShared(time.Now(), q.Self, customer, l, q.Nodes(), patience(ctx), a)
 	default:
-		if g, ok := q.askToken(ctx, substitute, question.SubstituteTokens, customer); ok {
+		asked = time.Now()
+		if g, ok := q.askToken(ctx, substitute, question.SubstituteTokens, customer, a); ok {
 			return g
 		}
+		a = remaining(a, asked)
 	}
-	return q.takeOwnShare(time.Now(), customer, l, q.Nodes(), patience(ctx))
+	return q.takeOwnShare(time.Now(), customer, l, q.Nodes(), patience(ctx), a)
+}
+
+// remaining returns an ask with the time to wait that is left of the one made at asked.
+func remaining(a waitline.Ask, asked time.Time) waitline.Ask {
+	a.Wait = max(a.Wait-time.Since(asked), 0)
+	return a
+}
+
+// homeOf returns the node that keeps the bucket of a customer's limit.
+func homeOf(customer string, homes []netip.AddrPort) (netip.AddrPort, bool) {
+	return rendezvous.Key(customer).Pick(homes)
 }
 
 // substitute returns the node to ask in place of the home, or false if there is
@@ -182,7 +187,7 @@
 		return nil, err
 	}
 	q.recordQuestion(now)
-	return q.encodeGrant(now, q.takeAsHome(now, m.GetCustomer(), limit))
+	return q.encodeGrant(now, q.takeAsHome(now, m.GetCustomer(), limit, askFromProto(m)))
 }
 
 // AnswerSubstituteTokens answers the token request of a node that the customer's home
@@ -196,14 +201,15 @@
 	if err != nil {
 		return nil, err
 	}
-	home, _ := rendezvous.Key(m.GetCustomer()).Pick(q.Homes())
+	home, _ := homeOf(m.GetCustomer(), q.Homes())
 	if home == q.Self {
 		return q.AnswerTokens(time.Now(), payload)
 	}
-	g, ok := q.askToken(ctx, home, question.Tokens, m.GetCustomer())
+	a, asked := askFromProto(m), time.Now()
+	g, ok := q.askToken(ctx, home, question.Tokens, m.GetCustomer(), a)
 	now := time.Now()
 	if !ok {
-		g = q.takeShared(now, asker, m.GetCustomer(), limit, q.Nodes(), maxShareWait)
+		g = q.takeShared(now, asker, m.GetCustomer(), limit, q.Nodes(), maxShareWait, remaining(a, asked))
 	}
 	return q.encodeGrant(now, g)
 }
@@ -227,7 +233,7 @@
 
 // encodeGrant encodes the answer to a token request.
 func (q *Enforcer) encodeGrant(now time.Time, g grant) ([]byte, error) {
-	m := &peerpb.TokenGrant{RetryAfterNanos: int64(g.wait), Freshness: transport.StampToProto(q.Stamp(now))}
+	m := &peerpb.TokenGrant{RetryAfterNanos: int64(g.wait), Place: g.place, Freshness: transport.StampToProto(q.Stamp(now))}
 	if g.admitted {
 		m.Count = 1
 	}
@@ -238,16 +244,6 @@
 	return &q.shards[xxhash.Sum64String(customer)%shardCount]
 }
 
-// takeAsHome takes a token out of the bucket that this node keeps as home.
-func (q *Enforcer) takeAsHome(now time.Time, customer string, l set.Limit) grant {
-	at, share := q.readClock(now)
-	s := q.shard(customer)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wait := bucket(&s.homes, customer).Take(at, l.Rate, float64(l.Burst))
-	return grant{admitted: wait == 0, wait: quota.Stretch(wait, share)}
-}
-
 // readClock returns the time by which the buckets of this home fill up, and the part of the
 // speed of time at which it passes.
 func (q *Enforcer) readClock(now time.Time) (time.Time, float64) {
@@ -284,32 +280,6 @@
 	q.askedAt = now
 }
 
-// takeOwnShare takes a token out of this node's own share.
-func (q *Enforcer) takeOwnShare(now time.Time, customer string, l set.Limit, nodes int, patience time.Duration) grant {
-	s := q.shard(customer)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	wait, ok := bucket(&s.shares, customer).TakeShare(now, l.Rate, nodes, patience)
-	return grant{admitted: ok, wait: wait}
-}
-
-// takeShared takes a token out of the combined shares, as the substitute.
-func (q *Enforcer) takeShared(now time.Time, asker netip.AddrPort, customer string, l set.Limit, nodes int, patience time.Duration) grant {
-	s := q.shard(customer)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sharedBuckets == nil {
-		s.sharedBuckets = make(map[string]*quota.SharedBucket)
-	}
-	p := s.sharedBuckets[customer]
-	if p == nil {
-		p = new(quota.SharedBucket)
-		s.sharedBuckets[customer] = p
-	}
-	wait, ok := p.Take(now, asker, l.Rate, nodes, patience)
-	return grant{admitted: ok, wait: wait}
-}
-
 // bucket returns the bucket of a customer, and creates it if there is none.
 func bucket(m *map[string]*quota.Bucket, customer string) *quota.Bucket {
 	if *m == nil {
@@ -325,7 +295,7 @@
 
 // askToken asks the home or a substitute for a token. It returns false if there was no
 // valid answer.
-func (q *Enforcer) askToken(ctx context.Context, to netip.AddrPort, kind question.Kind, customer string) (grant, bool) {
+func (q *Enforcer) askToken(ctx context.Context, to netip.AddrPort, kind question.Kind, customer string, a waitline.Ask) (grant, bool) {
 	if q.cooldown.Active(time.Now(), to) {
 		return grant{}, false
 	}
@@ -333,7 +303,7 @@
 	if kind == question.SubstituteTokens {
 		limit = substituteTimeout
 	}
-	payload, err := q.encodeRequest(customer)
+	payload, err := q.encodeRequest(customer, a)
 	if err != nil {
 		q.Log.Error().Err(err).Msg("cannot encode token request")
 		return grant{}, false
@@ -358,15 +328,25 @@
 	if m.GetCount() > 0 {
 		return grant{admitted: true, wait: min(wait, maxShareWait)}, true
 	}
-	return grant{wait: max(wait, time.Millisecond)}, true
+	return grant{wait: max(wait, time.Millisecond), place: m.GetPlace()}, true
+}
+
+// askFromProto returns how long the request of another node may wait, within bounds.
+func askFromProto(m *peerpb.TokenRequest) waitline.Ask {
+	return waitline.Ask{
+		Wait:     min(max(time.Duration(m.GetWaitNanos()), 0), waitline.MaxWait),
+		Priority: min(max(int(m.GetPriority()), -maxPriority), maxPriority), Place: m.GetPlace(),
+	}
 }
 
-func (q *Enforcer) encodeRequest(customer string) ([]byte, error) {
+func (q *Enforcer) encodeRequest(customer string, a waitline.Ask) ([]byte, error) {
 	self, err := q.Self.MarshalBinary()
 	if err != nil {
 		return nil, err
 	}
-	return proto.Marshal(&peerpb.TokenRequest{Customer: customer, Count: 1, Asker: self})
+	return proto.Marshal(&peerpb.TokenRequest{
+		Customer: customer, Count: 1, Asker: self, WaitNanos: int64(a.Wait), Priority: int32(min(max(a.Priority, -maxPriority), maxPriority)), Place: a.Place,
+	})
 }
 
 // markUnresponsive records that a node did not answer, so that it is not asked
--- a/internal/node/quotas/odd_test.go
+++ b/internal/node/quotas/odd_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"filbertturn.example/filbertturn/internal/check/odd"
+	"filbertturn.example/filbertturn/internal/limit/waitline"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
@@ -57,7 +58,7 @@
 	for _, tt := range tests {
 		q := startNodes(t, 1, 5)[0]
 		to := startPeer(t, &rawPeer{tt.reply})
-		got, ok := q.askToken(t.Context(), to, question.Tokens, customer)
+		got, ok := q.askToken(t.Context(), to, question.Tokens, customer, waitline.Ask{})
 		if ok != tt.wantOK || ok && (got.admitted || got.wait <= 0 || got.wait > time.Hour) {
 			t.Errorf("%s: got %+v and %v, want a bounded pause: %v", tt.desc, got, ok, tt.wantOK)
 		}
@@ -104,7 +105,7 @@
 	f.Add([]byte("\xff"))
 	f.Fuzz(func(t *testing.T, reply []byte) {
 		q := startNodes(t, 1, 5)[0]
-		if got, ok := q.askToken(t.Context(), startPeer(t, &rawPeer{reply}), question.Tokens, customer); ok && (got.wait < 0 || got.wait > time.Hour) {
+		if got, ok := q.askToken(t.Context(), startPeer(t, &rawPeer{reply}), question.Tokens, customer, waitline.Ask{}); ok && (got.wait < 0 || got.wait > time.Hour) {
 			t.Errorf("%q: got the pause %s", reply, got.wait)
 		}
 	})
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -205,7 +205,7 @@
 	c.retryRounding = float64(xxhash.Sum64String(s.PeerAddress.String())) / math.MaxUint64
 	c.quotaEnforcer = &quotas.Enforcer{
 		Self: s.PeerAddress, Mesh: c.mesh, Nodes: c.discovery.NodeCount, Homes: c.discovery.Homes, Snapshot: c.syncer.Snapshot, Log: log,
-		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp, View: c.view,
+		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp, View: c.view, Count: c.metrics.IncrementCounter,
 	}
 	if adapter.EvacuationKey != "" {
 		c.evacuation = &evacuation.Watcher{
@@ -461,7 +461,7 @@
 		}
 		return 0
 	})
-	c.metrics.RegisterGauge("suspected_requests", func() int64 { return int64(len(c.guard.Cases())) })
+	c.registerRequestGauges()
 	c.metrics.RegisterGauge("peer_sessions", func() int64 { return int64(c.mesh.SessionCount()) })
 	c.metrics.RegisterGauge("peer_sent_bytes", func() int64 { sent, _ := c.mesh.Traffic(); return sent })
 	c.metrics.RegisterGauge("peer_received_bytes", func() int64 { _, received := c.mesh.Traffic(); return received })
--- a/internal/request/latency/estimator.go
+++ b/internal/request/latency/estimator.go
@@ -20,6 +20,14 @@
 	// greatest age of the last of them.
 	minMeanSamples = 2.0
 	maxMeanAge     = 30 * time.Second
+
+	// minLikelySamples is the smallest weight of the samples that tell how much response times vary, minDeviation the
+	// least deviation that is assumed of their logarithms, and likelyDeviations the deviations above the mean below which
+	// nineteen in twenty response times are.
+	minLikelySamples = 5.0
+	minDeviation     = 0.25
+	likelyDeviations = 1.64
+	maxLikely        = time.Hour
 )
 
 // Estimator estimates the response time of one route as a geometric mean in which samples
@@ -27,6 +35,7 @@
 type Estimator struct {
 	weight  float64 // Number of samples, decayed with time.
 	sum     float64 // Sum of the logarithms of the response times in seconds, decayed alike.
+	squares float64 // Sum of their squares, decayed alike.
 	updated time.Time
 }
 
@@ -36,10 +45,13 @@
 		factor := math.Exp(-elapsed.Seconds() / timeConstant.Seconds())
 		e.weight *= factor
 		e.sum *= factor
+		e.squares *= factor
 	}
 	e.updated = now
 	e.weight++
-	e.sum += math.Log(max(took, time.Microsecond).Seconds())
+	x := math.Log(max(took, time.Microsecond).Seconds())
+	e.sum += x
+	e.squares += x * x
 }
 
 // OverdueAfter returns the time after which a response is overdue, or false if there are too
@@ -60,6 +72,16 @@
 	return e.mean(), true
 }
 
+// Likely returns the time within which nineteen in twenty responses arrive, or false if there are too few recent samples.
+func (e *Estimator) Likely(now time.Time) (time.Duration, bool) {
+	if e.weight < minLikelySamples || now.Sub(e.updated) > maxMeanAge {
+		return 0, false
+	}
+	mean := e.sum / e.weight
+	deviation := max(math.Sqrt(max(e.squares/e.weight-mean*mean, 0)), minDeviation)
+	return time.Duration(min(math.Exp(mean+likelyDeviations*deviation), maxLikely.Seconds()) * float64(time.Second)), true
+}
+
 func (e *Estimator) mean() time.Duration {
 	return time.Duration(math.Exp(e.sum/e.weight) * float64(time.Second))
 }
