Test that the line at a limit keeps the rule, and survives failures

Requests that wait at a limit must get no more than the limit however homes fail, must not wait longer than they may, and must leave nothing behind.

--- a/internal/limit/waitline/demand.go
+++ b/internal/limit/waitline/demand.go
@@ -19,6 +19,9 @@
 	// commonStep is the relative change of the common wait by one request.
 	commonStep = 0.05
 
+	// priorRequests is the number of requests that can wait which are assumed before the first ones are known.
+	priorRequests = 20
+
 	// countDecay is the weight of the requests before the last one among those that were asked for and accepted.
 	countDecay = 0.995
 )
@@ -103,11 +106,10 @@
 
 // waitingPart returns the part of the requests that have the common wait.
 func (d *demand) waitingPart() float64 {
-	sum := d.asked[0] + d.asked[1]
-	if d.asked[1] == 0 || sum == 0 {
+	if d.asked[1] == 0 {
 		return 1
 	}
-	return d.asked[1] / sum
+	return (d.asked[1] + priorRequests) / (d.asked[0] + d.asked[1] + priorRequests)
 }
 
 // above returns the requests per second of higher priorities.
--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -35,9 +35,6 @@
 	// quiet is the time without a request that found no token after which demand no longer exceeds the rate.
 	quiet = time.Second
 
-	// holdTimeout is the time for which a token is held for the next request that cannot wait.
-	holdTimeout = 100 * time.Millisecond
-
 	maxAfter = 365 * 24 * time.Hour
 )
 
@@ -69,7 +66,6 @@
 	demand    demand
 	shortAt   time.Time // When the last request found no token.
 	busySince time.Time // Since when demand exceeds the rate.
-	heldUntil time.Time // Until when a token is held for a request that cannot wait.
 	swept     time.Time // When the places that have lapsed were removed.
 	lapsed    int       // Places that have lapsed since TakeLapsed was called.
 }
@@ -126,6 +122,10 @@
 		limit = time.Duration(float64(limit) * float64(lasting) / float64(busy))
 	}
 	if wait == 0 || !s.Room || len(l.places) >= maxPlaces || forecast > time.Duration(forecastMargin*float64(limit)) {
+		if len(l.places) > 0 {
+			// Claims of those ahead that come too early are repeated.
+			forecast = min(forecast+forecast/20+minRepeat, maxAfter)
+		}
 		return Decision{After: forecast}
 	}
 	l.demand.accept(wait)
@@ -158,7 +158,7 @@
 		l.places = slices.Delete(l.places, i, i+1)
 		return Decision{}, false
 	}
-	if s.Tokens-float64(due(l.places[:i], now)+l.held(now)) >= 1 {
+	if s.Tokens-float64(due(l.places[:i], now)) >= 1 {
 		l.places = slices.Delete(l.places, i, i+1)
 		return Decision{Granted: true}, true
 	}
@@ -177,26 +177,10 @@
 	if now.Sub(l.swept) > minRepeat {
 		l.Sweep(now)
 	}
-	if s.Tokens-float64(due(l.places, now)+l.held(now)) >= 1 {
-		return true
-	}
-	if !l.demand.isBehind(wait) {
-		return false
-	}
-	if s.Tokens >= 1 {
-		l.heldUntil = time.Time{}
+	if s.Tokens-float64(due(l.places, now)) >= 1 {
 		return true
 	}
-	l.heldUntil = now.Add(holdTimeout)
-	return false
-}
-
-// held returns the number of tokens that are held for requests that cannot wait.
-func (l *Line) held(now time.Time) int {
-	if now.Before(l.heldUntil) {
-		return 1
-	}
-	return 0
+	return s.Tokens >= 1 && l.demand.isBehind(wait)
 }
 
 // due returns the number of places whose turn has come.
@@ -236,5 +220,6 @@
 	if missing/rate >= maxAfter.Seconds() {
 		return maxAfter
 	}
-	return max(time.Duration(missing/rate*float64(time.Second)), time.Millisecond)
+	// Rounds up: a claim at a level just below one would be in vain.
+	return max(time.Duration(missing/rate*float64(time.Second))+time.Microsecond, time.Millisecond)
 }
--- a/internal/node/quotas/enforcer.go
+++ b/internal/node/quotas/enforcer.go
@@ -28,7 +28,6 @@
 	"filbertturn.example/filbertturn/internal/limit/waitline"
 	"filbertturn.example/filbertturn/internal/limit/waitroom"
 	"filbertturn.example/filbertturn/internal/peer/cooldown"
-	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
 	"filbertturn.example/filbertturn/internal/peer/transport"
@@ -60,12 +59,18 @@
 	shardCount = 16
 )
 
+// Mesh asks questions of other nodes.
+type Mesh interface {
+	// Ask returns the reply of a node to a question.
+	Ask(ctx context.Context, to netip.AddrPort, kind question.Kind, payload []byte) ([]byte, error)
+}
+
 // Enforcer admits requests within customers' limits, and keeps the buckets of the
 // customers of which this node is the home or the substitute. All exported fields
 // have to be set before use. Its methods are safe for concurrent use.
 type Enforcer struct {
 	Self     netip.AddrPort
-	Mesh     *link.Mesh
+	Mesh     Mesh
 	Nodes    func() int              // Returns the number of nodes, including this one.
 	Homes    func() []netip.AddrPort // Returns the nodes that may be homes.
 	Snapshot func() *snapshot.Snapshot
--- a/internal/node/quotas/odd_test.go
+++ b/internal/node/quotas/odd_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,6 +16,8 @@
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
 	"filbertturn.example/filbertturn/internal/peer/question"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
 )
 
 // rawPeer replies to all questions with the same bytes.
@@ -65,6 +68,49 @@
 	}
 }
 
+// TestEnforcer_AnswerTokens_odd guards against asks that no node sends, which would hold places for ever.
+func TestEnforcer_AnswerTokens_odd(t *testing.T) {
+	q := startNodes(t, 1, 5)[0]
+	for _, m := range []*peerpb.TokenRequest{
+		{WaitNanos: math.MinInt64, Priority: math.MinInt32},
+		{WaitNanos: math.MaxInt64, Priority: math.MaxInt32},
+		{WaitNanos: math.MaxInt64, Place: math.MaxUint64},
+		{WaitNanos: -1, Place: 1},
+	} {
+		m.Customer = customer
+		payload, _ := proto.Marshal(m)
+		for range 5000 {
+			reply, err := q.AnswerTokens(time.Now(), payload)
+			g := new(peerpb.TokenGrant)
+			if err != nil || proto.Unmarshal(reply, g) != nil {
+				t.Fatalf("%v: got no answer: %v", m, err)
+			}
+			if g.GetPlace() != 0 && time.Duration(g.GetRetryAfterNanos()) > waitline.MaxWait {
+				t.Fatalf("%v: got a place for %s", m, time.Duration(g.GetRetryAfterNanos()))
+			}
+		}
+	}
+}
+
+// TestEnforcer_AdmitWithin_oddHome guards against a home whose answers let a request claim without end, or wait longer than it
+// may.
+func TestEnforcer_AdmitWithin_oddHome(t *testing.T) {
+	for _, nanos := range []int64{math.MinInt64, 0, 1, math.MaxInt64} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(t, 3, 100, 10)
+			reply, _ := proto.Marshal(&peerpb.TokenGrant{Place: 7, RetryAfterNanos: nanos})
+			home, i := f.home()
+			f.mu.Lock()
+			home.reply = reply
+			f.mu.Unlock()
+			waited, err := f.send(t.Context(), f.nodes[(i+1)%3], time.Second)
+			if got := failure.From(err); got.Kind != kind.LimitReached || waited > time.Second || f.asks > maxClaims+1 {
+				t.Errorf("%d ns: got %v after %s and %d asks", nanos, err, waited, f.asks)
+			}
+		})
+	}
+}
+
 // TestEnforcer_AnswerSubstituteTokens_odd guards against askers that no node can be, each of which would
 // have a share of its own.
 func TestEnforcer_AnswerSubstituteTokens_odd(t *testing.T) {
--- a/internal/request/latency/estimator_test.go
+++ b/internal/request/latency/estimator_test.go
@@ -1,6 +1,8 @@
 package latency
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -74,3 +76,37 @@
 		})
 	}
 }
+
+// TestEstimator_Likely guards against a time that most responses of a route with varying times exceed, and one from too few.
+func TestEstimator_Likely(t *testing.T) {
+	var e Estimator
+	now := time.Unix(0, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	draw := func() time.Duration {
+		return time.Duration(500 * math.Exp(0.5*random.NormFloat64()) * float64(time.Millisecond))
+	}
+	for range 4 {
+		e.Observe(now, draw())
+	}
+	if got, ok := e.Likely(now); ok {
+		t.Errorf("got %s of four responses, want none", got)
+	}
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		e.Observe(now, draw())
+	}
+	limit, _ := e.Likely(now)
+	within := 0
+	for range 1000 {
+		if draw() <= limit {
+			within++
+		}
+	}
+	// The samples weigh as much as 126.
+	if within < 890 || within > 990 {
+		t.Errorf("got %d of 1000 responses within %s, want 950", within, limit)
+	}
+	if got, ok := e.Likely(now.Add(time.Minute)); ok {
+		t.Errorf("got %s of old responses, want none", got)
+	}
+}
