Take a token of a share ahead where no place in its line is left

A request that got no place in the line of a node's share, or whose claim was in vain, was refused, although one that cannot wait would have got the share's next token within 100 ms: TestNode_gracefulStop_limit saw 14 refusals in 6 s inside the limit, on a machine with a load average of 26.

Now it gets that token, as before.

--- a/internal/node/quotas/wait.go
+++ b/internal/node/quotas/wait.go
@@ -165,8 +165,8 @@
 	line *waitline.Line
 	// level returns the tokens in the bucket and their rate.
 	level func() (tokens, perSecond float64)
-	// take takes a token, or returns false.
-	take func() bool
+	// take takes a token, if there is one within patience, and returns when it may be used.
+	take func(patience time.Duration) (time.Duration, bool)
 }
 
 // decide lets the line of a pool decide on a request. The shard's mu must be held.
@@ -179,7 +179,7 @@
 	})
 	if d.Granted {
 		// The bucket itself decides, so that the limit holds whatever the line does.
-		if p.take() {
+		if _, ok := p.take(0); ok {
 			return grant{admitted: true}
 		}
 		d = waitline.Decision{After: time.Millisecond}
@@ -261,7 +261,10 @@
 	return q.decide(now, pool{
 		line:  line,
 		level: func() (float64, float64) { return b.Level(at, l.Rate, float64(l.Burst)), l.Rate * share },
-		take:  func() bool { return b.Take(at, l.Rate, float64(l.Burst)) == 0 },
+		take: func(time.Duration) (time.Duration, bool) {
+			wait := b.Take(at, l.Rate, float64(l.Burst))
+			return wait, wait == 0
+		},
 	}, a)
 }
 
@@ -271,15 +274,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := bucket(&s.shares, customer)
-	if a.Wait < waitline.MinWait && a.Place == 0 {
-		wait, ok := b.TakeShare(now, l.Rate, nodes, patience)
-		return grant{admitted: ok, wait: wait}
-	}
-	return q.decide(now, pool{
+	return q.takeOf(now, pool{
 		line:  s.line(forItself, customer, a),
 		level: func() (float64, float64) { return b.ShareLevel(now, l.Rate, nodes) },
-		take:  func() bool { _, ok := b.TakeShare(now, l.Rate, nodes, 0); return ok },
-	}, a)
+		take:  func(patience time.Duration) (time.Duration, bool) { return b.TakeShare(now, l.Rate, nodes, patience) },
+	}, patience, a)
 }
 
 // takeShared takes a token out of the combined shares, as the substitute.
@@ -295,13 +294,23 @@
 		p = new(quota.SharedBucket)
 		s.sharedBuckets[customer] = p
 	}
-	if a.Wait < waitline.MinWait && a.Place == 0 {
-		wait, ok := p.Take(now, asker, l.Rate, nodes, patience)
-		return grant{admitted: ok, wait: wait}
-	}
-	return q.decide(now, pool{
+	return q.takeOf(now, pool{
 		line:  s.line(asSubstitute, customer, a),
 		level: func() (float64, float64) { return p.Level(now, asker, l.Rate, nodes) },
-		take:  func() bool { _, ok := p.Take(now, asker, l.Rate, nodes, 0); return ok },
-	}, a)
+		take: func(patience time.Duration) (time.Duration, bool) {
+			return p.Take(now, asker, l.Rate, nodes, patience)
+		},
+	}, patience, a)
+}
+
+// takeOf takes a token out of shares. A request that gets no place may wait for a token that is taken at once, as long as one that
+// cannot wait in a line.
+func (q *Enforcer) takeOf(now time.Time, p pool, patience time.Duration, a waitline.Ask) grant {
+	if a.Wait >= waitline.MinWait || a.Place != 0 {
+		if g := q.decide(now, p, a); g.admitted || g.place != 0 {
+			return g
+		}
+	}
+	wait, ok := p.take(patience)
+	return grant{admitted: ok, wait: wait}
 }
