Refuse a request by a full line without counting the places that are due

A flood of requests beyond a limit made its home look at all places of the line for each of them, although there was no token that they could claim.

The places are counted only if the bucket holds a token.

--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -177,10 +177,7 @@
 	if now.Sub(l.swept) > minRepeat {
 		l.Sweep(now)
 	}
-	if s.Tokens-float64(due(l.places, now)) >= 1 {
-		return true
-	}
-	return s.Tokens >= 1 && l.demand.isBehind(wait)
+	return s.Tokens >= 1 && (s.Tokens-float64(due(l.places, now)) >= 1 || l.demand.isBehind(wait))
 }
 
 // due returns the number of places whose turn has come.
--- a/internal/limit/waitline/overload_test.go
+++ b/internal/limit/waitline/overload_test.go
@@ -226,3 +226,16 @@
 		}
 	})
 }
+
+// BenchmarkLine_Decide measures the refusal of a request by a full line.
+func BenchmarkLine_Decide(b *testing.B) {
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	s := waitline.Supply{Rate: 2000, Room: true}
+	for i := range 5000 {
+		l.Decide(now, s, waitline.Ask{Wait: waitline.MaxWait}, uint64(i+1))
+	}
+	for i := 0; b.Loop(); i++ {
+		l.Decide(now.Add(time.Duration(i)*time.Microsecond%(100*time.Millisecond)), s, waitline.Ask{Wait: waitline.MaxWait}, 1)
+	}
+}
