--- a/internal/node/ingress/ingress_test.go
+++ b/internal/node/ingress/ingress_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/set"
 	"filbertturn.example/filbertturn/internal/config/snapshot"
+	"filbertturn.example/filbertturn/internal/limit/waitline"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
 	"filbertturn.example/filbertturn/internal/node/ingress"
 	"filbertturn.example/filbertturn/internal/request/dialect"
@@ -27,13 +31,18 @@
 type fakePorts struct {
 	remaining time.Duration // Time that callers have left.
 	orders    []order.Order
+	asks      []waitline.Ask
 	refused   []*failure.Failure
 	calls     int
 	callEnds  []scheduler.CallOutcome
 }
 
-func (p *fakePorts) ReadRequest(*http.Request) dialect.CallerRequest {
-	return dialect.CallerRequest{ID: "1", Remaining: p.remaining}
+func (p *fakePorts) ReadRequest(r *http.Request) dialect.CallerRequest {
+	c := dialect.CallerRequest{ID: "1", Remaining: p.remaining}
+	if !strings.HasPrefix(r.URL.Path, "/call") {
+		c.Secret = "secret"
+	}
+	return c
 }
 
 func (p *fakePorts) WriteError(w http.ResponseWriter, f *failure.Failure) {
@@ -44,7 +53,11 @@
 func (p *fakePorts) ReadResponse(int, http.Header) dialect.BackendResponse {
 	return dialect.BackendResponse{}
 }
-func (p *fakePorts) Admit(context.Context, string) error                        { return nil }
+func (p *fakePorts) Admit(context.Context, string) error { return nil }
+func (p *fakePorts) AdmitWithin(_ context.Context, _ string, a waitline.Ask) error {
+	p.asks = append(p.asks, a)
+	return nil
+}
 func (p *fakePorts) RecordRequest(string, int, *failure.Failure, time.Duration) {}
 
 func (p *fakePorts) Forward(_ context.Context, r *dispatcher.Request) (*exchange.Response, error) {
@@ -61,8 +74,12 @@
 	s := snapshot.Compile(set.Set{
 		Pools: []set.Pool{{Name: "p", Service: "s"}},
 		Routes: []set.Route{
+			{Name: "objective", Prefix: "/objective", Pool: "p", Target: 2 * time.Second, Timeout: 5 * time.Second},
+			{Name: "none", Prefix: "/none", Pool: "p", Timeout: 5 * time.Second},
 			{Name: "call", Prefix: "/call", Subtree: true, Pool: "p", Open: true, Target: 400 * time.Millisecond, Timeout: 5 * time.Second},
 		},
+		Customers: []set.Customer{{Name: "customer", Priority: 2}},
+		Keys:      []set.Key{{Name: "k", Customer: "customer", Hash: fmt.Sprintf("%x", sha256.Sum256([]byte("secret")))}},
 	}, 1)
 	return &ingress.Ingress{
 		Service: "own", Dialect: p, Configuration: func(context.Context, time.Duration) *snapshot.Snapshot { return s }, Limiter: p, Forwarder: p, Recorder: p,
