Believe the end of a connection only after the whole request

Callers got a part of an answer without a length as the whole one, if the backend server answered an upload early and reset the connection.

Cause: Linux reports a reset once, to the read or the write that comes first. If the goroutine that writes the request got it, the read that followed returned the end of the connection.

An end without a reset before the request was written counted as whole, too.

Change: the end of the connection ends an answer only if the request was written without an error, the socket is in CLOSE_WAIT and nothing is unacknowledged. An answer that is whole by its framing is delivered as before.

--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -242,7 +242,7 @@
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
-		Body:          &responseBody{x: x, resp: resp},
+		Body:          &responseBody{x: x, resp: resp, unframed: unframed},
 		ContentLength: resp.ContentLength,
 		BackendServer: x.client.Address,
 		Trailer:       func() http.Header { return resp.Trailer },
--- a/internal/backend/exchange/response.go
+++ b/internal/backend/exchange/response.go
@@ -39,6 +39,7 @@
 type responseBody struct {
 	x        *exchange
 	resp     *http.Response
+	unframed bool  // It ends with the connection.
 	finalErr error // Result of all further reads, once set.
 }
 
@@ -48,6 +49,13 @@
 	}
 	n, err := b.resp.Body.Read(p)
 	switch {
+	case err == io.EOF && b.unframed:
+		b.finalErr = io.EOF
+		if f := b.x.proveEnd(); f != nil {
+			b.finalErr = f
+		}
+		b.x.finish(false)
+		err = b.finalErr
 	case err == io.EOF:
 		b.finalErr = io.EOF
 		b.x.finish(!b.resp.Close)
