Refuse answers without a valid status line

Callers got what follows an answer with the status 000 on its connection, and answers with statuses from 600 on or of HTTP/0.9 and HTTP/3.0.

Cause: net/http takes 000, 099 and +20 for statuses and any version, and the exchange took every status below 200 but 101 for an interim response.

Change: the start of each head must be HTTP/1.0 or HTTP/1.1 and a status of 100 to 599, compared before net/http parses it. 600 to 999 are refused, as RFC 9110 calls them invalid; nodes no longer take them from one another.

--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -61,7 +62,7 @@
 // headerLimiter is a reader that limits the bytes read from conn while it is enabled,
 // which is while the header of a response is read.
 type headerLimiter struct {
-	conn      net.Conn
+	conn      io.Reader
 	remaining int // Bytes that may still be read.
 	enabled   bool
 }
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -282,6 +282,9 @@
 	x.conn.limiter.enabled = true
 	defer func() { x.conn.limiter.enabled = false }()
 	for range maxInterimResponses {
+		if err := checkStatusLine(x.conn.r); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: x.request.Method})
 		if err == nil {
 			err = checkFieldNames(resp.Header)
--- a/internal/peer/transport/bounds.go
+++ b/internal/peer/transport/bounds.go
@@ -14,7 +14,7 @@
 	maxPriority   = 1 << 20
 	maxSteps      = 1 << 20
 	minStatus     = 200
-	maxStatus     = 999
+	maxStatus     = 599 // An owner of an earlier release passes on up to 999, which no status class defines.
 )
 
 // HeadError reports a field of the head of a response that no node sends.
@@ -39,8 +39,7 @@
 	return min(max(time.Duration(nanos), -maxDuration), maxDuration)
 }
 
-// validateResponse returns a HeadError for the head of a response that net/http would not
-// write.
+// validateResponse returns a HeadError for the head of a response that is none.
 func validateResponse(head *peerpb.AnswerHead) error {
 	switch {
 	case head.GetStatus() < minStatus || head.GetStatus() > maxStatus:
--- a/internal/peer/transport/odd_test.go
+++ b/internal/peer/transport/odd_test.go
@@ -71,6 +71,7 @@
 	}{
 		{"status 0", []*peerpb.Frame{accepted, answer(0, 0)}, kind.LostPeer, true},
 		{"status 99", []*peerpb.Frame{accepted, answer(99, 0)}, kind.LostPeer, true},
+		{"status 600", []*peerpb.Frame{accepted, answer(600, 0)}, kind.LostPeer, true},
 		{"status 1000", []*peerpb.Frame{accepted, answer(1000, 0)}, kind.LostPeer, true},
 		{"least status", []*peerpb.Frame{accepted, answer(math.MinInt32, 0)}, kind.LostPeer, true},
 		{"informational", []*peerpb.Frame{accepted, answer(100, 0)}, kind.LostPeer, true},
@@ -191,7 +192,7 @@
 		defer cancel()
 		r := (&transport.Client{Mesh: mesh}).Offer(ctx, to, o, nilBody)
 		if r.Err == nil {
-			if r.Response.Status < 200 || r.Response.Status > 999 || r.Response.ContentLength < -1 {
+			if r.Response.Status < 200 || r.Response.Status > 599 || r.Response.ContentLength < -1 {
 				t.Errorf("%v: got the status %d", frame, r.Response.Status)
 			}
 			_ = r.Response.Body.Close()
