Bound the lines of the head of an answer

A backend server, faulty or not sound, could send 64 KiB of lines of three bytes, the limit of a head.

Cause: only bytes were bounded, and net/http, the encoding for other nodes and their decoding allocate for each line.

Evidence: 1.6 MB to read such a head, 2.6 MB to encode it at the owner and 5.5 MB to decode it at the entry: 34 MB for eight slots, 150 MB in use for forty answers.

Change: the reader below net/http's counts the lines of each head and fails beyond 1,024, before any of them is parsed. Nodes refuse more fields of one another.

--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -59,29 +58,6 @@
 	}
 }
 
-// headerLimiter is a reader that limits the bytes read from conn while it is enabled,
-// which is while the header of a response is read.
-type headerLimiter struct {
-	conn      io.Reader
-	remaining int // Bytes that may still be read.
-	enabled   bool
-}
-
-func (l *headerLimiter) Read(p []byte) (int, error) {
-	if !l.enabled {
-		return l.conn.Read(p)
-	}
-	if l.remaining <= 0 {
-		return 0, errors.New("response header is too large")
-	}
-	if len(p) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.conn.Read(p)
-	l.remaining -= n
-	return n, err
-}
-
 // Close closes the idle connections. Connections in use are closed when their
 // exchanges end.
 func (c *Client) Close() {
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -282,6 +282,9 @@
 	x.conn.limiter.enabled = true
 	defer func() { x.conn.limiter.enabled = false }()
 	for range maxInterimResponses {
+		if err := x.conn.limiter.begin(x.conn.r); err != nil {
+			return nil, err
+		}
 		if err := checkStatusLine(x.conn.r); err != nil {
 			return nil, err
 		}
--- a/internal/backend/exchange/status_test.go
+++ b/internal/backend/exchange/status_test.go
@@ -144,6 +144,13 @@
 		if resp.StatusCode < 200 || resp.StatusCode > 599 {
 			t.Errorf("got status %d, want 200 to 599", resp.StatusCode)
 		}
+		fields := 0
+		for _, values := range resp.Header {
+			fields += len(values)
+		}
+		if fields >= maxHeaderLines {
+			t.Errorf("got %d fields, want fewer than %d", fields, maxHeaderLines)
+		}
 		found := false
 		for _, line := range form.FindAllStringSubmatch(strings.ReplaceAll(string(data), "\r\n", "\n"), -1) {
 			found = found || line[1] == fmt.Sprint(resp.StatusCode)
--- a/internal/peer/transport/bounds.go
+++ b/internal/peer/transport/bounds.go
@@ -14,7 +14,8 @@
 	maxPriority   = 1 << 20
 	maxSteps      = 1 << 20
 	minStatus     = 200
-	maxStatus     = 599 // An owner of an earlier release passes on up to 999, which no status class defines.
+	maxHeaders    = 1024 // As many lines as an owner takes from its backend server.
+	maxStatus     = 599  // An owner of an earlier release passes on up to 999, which no status class defines.
 )
 
 // HeadError reports a field of the head of a response that no node sends.
@@ -44,6 +45,8 @@
 	switch {
 	case head.GetStatus() < minStatus || head.GetStatus() > maxStatus:
 		return &HeadError{"status", head.GetStatus()}
+	case len(head.GetHeaders()) > maxHeaders:
+		return &HeadError{"number of headers", len(head.GetHeaders())}
 	case head.GetContentLength() < -1:
 		return &HeadError{"content length", head.GetContentLength()}
 	}
--- a/internal/peer/transport/odd_test.go
+++ b/internal/peer/transport/odd_test.go
@@ -63,6 +63,10 @@
 	answer := func(status int32, length int64) *peerpb.Frame {
 		return &peerpb.Frame{Body: &peerpb.Frame_Answer{Answer: &peerpb.AnswerHead{Status: status, ContentLength: length, Load: &peerpb.Load{Slots: -1}}}}
 	}
+	many := answer(200, 0)
+	for range 1025 {
+		many.GetAnswer().Headers = append(many.GetAnswer().Headers, &peerpb.Field{Name: "A"})
+	}
 	tests := []struct {
 		desc     string
 		frames   []*peerpb.Frame
@@ -76,6 +80,7 @@
 		{"least status", []*peerpb.Frame{accepted, answer(math.MinInt32, 0)}, kind.LostPeer, true},
 		{"informational", []*peerpb.Frame{accepted, answer(100, 0)}, kind.LostPeer, true},
 		{"negative length", []*peerpb.Frame{accepted, answer(200, math.MinInt64)}, kind.LostPeer, true},
+		{"too many headers", []*peerpb.Frame{accepted, many}, kind.LostPeer, true},
 		{"refused with a load that is no number", []*peerpb.Frame{verdictFrame(&peerpb.Verdict{
 			Decision: uint32(transport.Refused), RetryAfterNanos: math.MaxInt64, Load: &peerpb.Load{Failing: float32(math.NaN()), Serving: true},
 		})}, kind.NoCapacity, false},
