--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -242,7 +242,7 @@
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
-		Body:          &responseBody{x: x, resp: resp},
+		Body:          &responseBody{x: x, resp: resp, unframed: unframed},
 		ContentLength: resp.ContentLength,
 		BackendServer: x.client.Address,
 		Trailer:       func() http.Header { return resp.Trailer },
@@ -282,6 +282,12 @@
 	x.conn.limiter.enabled = true
 	defer func() { x.conn.limiter.enabled = false }()
 	for range maxInterimResponses {
+		if err := x.conn.limiter.begin(x.conn.r); err != nil {
+			return nil, err
+		}
+		if err := checkStatusLine(x.conn.r); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: x.request.Method})
 		if err == nil {
 			err = checkFieldNames(resp.Header)
