Pace a cold backend server also if the configuration comes after its heartbeat

Callers saw a backend server in its cold start get the load of its whole service, 37 and 34 requests in a second where 29 are allowed: it failed each within 4 ms and always had a free slot. Cause: the executor looked up the rate only when a heartbeat arrived. The first one came 45 ms before the configuration, so that "no configuration yet" was taken for "no limit" until the next, 1.5 s later. Change: the pace follows from the end of the cold start and the rate, and is set again when a configuration comes into force (Executor.ConfigurationChanged). ColdRate tells "unknown" from "no limit"; while it is unknown, few requests start, as before the first response of an incarnation. The bucket of a cold start that begins is empty, and is not charged between two cold starts.

--- a/internal/backend/scheduler/limit.go
+++ b/internal/backend/scheduler/limit.go
@@ -22,14 +22,33 @@
 	return s.Tick(now)
 }
 
-// SetCold lets no more requests start than the given number per second until the cold start
-// ends. Neither affects what Limit does.
-func (s *Scheduler) SetCold(now time.Time, perSecond float64, until time.Time) []Effect {
-	s.coldUntil = until
-	if perSecond > 0 && now.Before(until) {
-		s.cold.Set(now, perSecond)
-	} else {
+// ColdStart is the cold start of a backend server, as far as it is known. The zero value is none.
+type ColdStart struct {
+	End       time.Time
+	PerSecond float64 // Requests per second that it takes; zero means no limit.
+	RateKnown bool    // Whether PerSecond is known. Until it is, few requests start.
+}
+
+// paces reports whether the cold start limits the requests that start at now.
+func (c ColdStart) paces(now time.Time) bool {
+	return now.Before(c.End) && (!c.RateKnown || c.PerSecond > 0)
+}
+
+// SetCold lets no more requests start than the backend server takes during its cold start.
+// The bucket of a cold start that begins is empty. It does not affect what Limit does.
+func (s *Scheduler) SetCold(now time.Time, c ColdStart) []Effect {
+	before := s.coldStart
+	s.coldStart = c
+	switch {
+	case !c.paces(now):
 		s.cold = ratelimit.Limiter{}
+	case c.RateKnown:
+		if !before.paces(now) {
+			s.cold = ratelimit.Limiter{}
+		}
+		s.cold.Set(now, c.PerSecond)
+	case !before.paces(now):
+		s.cold.Assume(now)
 	}
 	return s.Tick(now)
 }
@@ -37,10 +56,10 @@
 // startDelay returns the time until the nth request from now on may start by the limits in
 // force, as Limiter.Delay does.
 func (s *Scheduler) startDelay(now time.Time, n int) time.Duration {
-	if s.cold.Interval() == 0 || !now.Before(s.coldUntil) {
+	if !s.coldStart.paces(now) {
 		return s.limiter.Delay(now, n)
 	}
-	cold := min(s.cold.Delay(now, n), s.coldUntil.Sub(now))
+	cold := min(s.cold.Delay(now, n), s.coldStart.End.Sub(now))
 	if s.limiter.Interval() == 0 {
 		return cold
 	}
@@ -50,7 +69,7 @@
 // startInterval returns the time between two requests at the limits in force; zero if there
 // are none.
 func (s *Scheduler) startInterval(now time.Time) time.Duration {
-	if !now.Before(s.coldUntil) {
+	if !s.coldStart.paces(now) {
 		return s.limiter.Interval()
 	}
 	return max(s.limiter.Interval(), s.cold.Interval())
@@ -61,8 +80,8 @@
 func (s *Scheduler) nextStart() time.Time {
 	next := s.limiter.Next()
 	cold := s.cold.Next()
-	if cold.After(s.coldUntil) {
-		cold = s.coldUntil
+	if cold.After(s.coldStart.End) {
+		cold = s.coldStart.End
 	}
 	if cold.After(next) {
 		return cold
--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -162,7 +162,7 @@
 				}
 			}
 		}
-		play(s.SetCold(now, rate, ends))
+		play(s.SetCold(now, scheduler.ColdStart{End: ends, PerSecond: rate, RateKnown: true}))
 		for id := range uint64(400) {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "gap")) * time.Millisecond)
 			switch rapid.IntRange(0, 50).Draw(t, "event") {
@@ -171,7 +171,7 @@
 			case 1:
 				play(s.Unlimit(now, now.Add(time.Microsecond)))
 			case 2:
-				play(s.SetCold(now, rate, ends))
+				play(s.SetCold(now, scheduler.ColdStart{End: ends, PerSecond: rate, RateKnown: true}))
 			}
 			r := request(id, order.Level(rapid.IntRange(int(order.Trusted), int(order.Any)).Draw(t, "level")))
 			r.Deadline, r.QueueDeadline = now.Add(4*time.Second), now.Add(2*time.Second)
@@ -188,7 +188,7 @@
 // cold start is over.
 func TestScheduler_SetCold_end(t *testing.T) {
 	s := open(3)
-	s.SetCold(at(0), 0.5, at(300*time.Millisecond))
+	s.SetCold(at(0), scheduler.ColdStart{End: at(300 * time.Millisecond), PerSecond: 0.5, RateKnown: true})
 	expect(t, "cold", s.Acquire(at(0), request(1, order.Queued)), "wait 1;")
 	if got, want := s.NextTick(), at(300*time.Millisecond); !got.Equal(want) {
 		t.Errorf("got the next tick at %s, want %s", got, want)
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -159,8 +159,8 @@
 	calls          callchain.Tracker // Correlates the calls of the backend server.
 	limiter        ratelimit.Limiter // Paces the starts of requests by the limit that the backend server names.
 	cold           ratelimit.Limiter // Paces them during its cold start.
-	coldUntil      time.Time         // End of the cold start.
-	stop           stop              // Set once the node stops.
+	coldStart      ColdStart
+	stop           stop // Set once the node stops.
 }
 
 // Open accepts requests for the given number of slots, at least one, and starts those
@@ -183,7 +183,7 @@
 	s.slotTime = 0
 	s.routeMeans = nil
 	s.limiter.Assume(now)
-	s.cold, s.coldUntil = ratelimit.Limiter{}, time.Time{}
+	s.cold, s.coldStart = ratelimit.Limiter{}, ColdStart{}
 }
 
 // Load returns the load to report to other nodes.
@@ -318,7 +318,9 @@
 	}
 	s.lastStart = now
 	s.limiter.Take(now)
-	s.cold.Take(now)
+	if s.coldStart.paces(now) {
+		s.cold.Take(now)
+	}
 	s.running[t.ID] = &runningRequest{request: t, started: now, activeAtStart: s.advanceActiveTime(now), trial: trial}
 	if trial {
 		s.nextTrial = now.Add(min(initialTrialInterval<<min(s.failedTrials, 8), maxTrialInterval))
--- a/internal/check/endings/endings_test.go
+++ b/internal/check/endings/endings_test.go
@@ -133,7 +133,7 @@
 	backend := netip.MustParseAddrPort(server.Listener.Addr().String())
 	o.executor = &executor.Executor{
 		Address: backend, Dialect: headers{}, HealthPath: func(string) string { return "/healthz" }, Log: zerolog.New(&o.record), Count: o.count,
-		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, OnServingChange: func() {}, ColdRate: func(string) float64 { return 10 },
+		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, OnServingChange: func() {}, ColdRate: func(string) (float64, bool) { return 10, true },
 		Identify: fingerprint.Key{1}.Start,
 	}
 	o.mesh = link.New(nil, nil, o)
--- a/internal/node/configsync/configsync.go
+++ b/internal/node/configsync/configsync.go
@@ -67,6 +67,9 @@
 	LeftOut *leftout.Reporter // Of configurations that cannot be used; nil for none.
 	Count   func(name string) // Adds one to a counter, unless nil.
 
+	// OnInForce is called after a configuration came into force; nil for nothing.
+	OnInForce func()
+
 	// Turns bounds the nodes that fetch from this one at the same time.
 	Turns turn.Turns
 
@@ -257,6 +260,9 @@
 	sy.mu.Unlock()
 	switch {
 	case newer:
+		if sy.OnInForce != nil {
+			sy.OnInForce()
+		}
 		sy.Log.Info().Uint64("Version", version).Str("Source", source).Dur("ProofAge", time.Since(at)).Int("Bytes", len(c.value)).
 			Int("Routes", len(s.Routes)).Int("Customers", len(s.Customers)).Msg("configuration in force")
 	case version < running:
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -63,8 +63,9 @@
 	HealthPath func(service string) string
 
 	// ColdRate returns the requests per second that a backend server of the service takes
-	// during its cold start; zero if there is no limit.
-	ColdRate func(service string) float64
+	// during its cold start, zero if there is no limit, and whether that is known: without
+	// a configuration it is not.
+	ColdRate func(service string) (perSecond float64, known bool)
 
 	// Quarantine holds the requests that crash backend servers; nil if none is known.
 	Quarantine Quarantine
@@ -99,6 +100,7 @@
 	lastID    uint64    // Identifier of the latest request.
 	closing   bool
 	evacuated bool
+	coldUntil time.Time           // End of the cold start of the current incarnation, as it said last.
 	inFlight  map[uint64]struct{} // Requests that run or wait, by identifier.
 }
 
@@ -126,7 +128,7 @@
 	effect = ex.tracker.Heartbeat(a)
 	lost = ex.takeLost(a.ReceivedAt, effect)
 	ex.apply(effect)
-	ex.setCold(effect)
+	ex.observeCold(effect)
 	return earlier, lost, effect
 }
 
@@ -175,20 +177,6 @@
 	}
 }
 
-// setCold paces requests during the cold start that a heartbeat announces. ex.mu must be held.
-func (ex *Executor) setCold(effect incarnation.Effect) {
-	var a incarnation.Announcement
-	switch e := effect.(type) {
-	case incarnation.Discovered:
-		a = e.Announcement
-	case incarnation.Updated:
-		a = e.Announcement
-	default:
-		return
-	}
-	ex.deliver(ex.scheduler.SetCold(a.ReceivedAt, ex.ColdRate(a.Service), a.ReceivedAt.Add(a.ColdStart)))
-}
-
 func (ex *Executor) resetClient() {
 	if ex.client != nil {
 		ex.client.Close()
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -80,7 +80,7 @@
 	return &executor.Executor{
 		Address: address, Dialect: fakeDialect{}, HealthPath: func(string) string { return "/healthz" }, Log: zerolog.New(l),
 		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, OnServingChange: func() {},
-		ColdRate: func(string) float64 { return 10 }, Identify: fingerprint.Key{1}.Start,
+		ColdRate: func(string) (float64, bool) { return 10, true }, Identify: fingerprint.Key{1}.Start,
 	}
 }
 
--- a/internal/node/executor/panic_test.go
+++ b/internal/node/executor/panic_test.go
@@ -80,7 +80,7 @@
 func TestExecutor_Heartbeat_panic(t *testing.T) {
 	var l logBuffer
 	h := newExecutor(netip.MustParseAddrPort("127.0.0.1:1"), &l)
-	h.ColdRate = func(string) float64 { panic(errors.New("fault of the test")) }
+	h.ColdRate = func(string) (float64, bool) { panic(errors.New("fault of the test")) }
 	func() {
 		// As net/http does for a handler that panics.
 		defer func() { _ = recover() }()
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,7 +21,6 @@
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/config/set"
-	"filbertturn.example/filbertturn/internal/config/snapshot"
 	"filbertturn.example/filbertturn/internal/fleet/nodetable"
 	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/node/configsync"
@@ -171,6 +169,7 @@
 	c.syncer = &configsync.Syncer{Store: adapter.Store, Mesh: c.mesh, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration, Log: log, LeftOut: c.leftOut, Self: s.PeerAddress,
 		Count: c.metrics.IncrementCounter}
 	c.syncer.Turns.Limit = s.fetchers()
+	c.syncer.OnInForce = func() { c.executor.ConfigurationChanged() }
 	c.fleetKey = &fleetkey.Keeper{Self: s.PeerAddress, Store: adapter.Store, Mesh: c.mesh, Log: log, LeftOut: c.leftOut}
 	c.guard = &quarantine.Guard{
 		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Log: log, LeftOut: c.leftOut, Count: c.metrics.IncrementCounter,
@@ -245,33 +244,6 @@
 	}
 }
 
-// healthPath returns the path of health checks of a service. Before the first configuration it
-// waits for one.
-func (c *Sidecar) healthPath(service string) string {
-	if p := pool(c.syncer.Await(context.Background(), configurationTimeout), service); p.Probe.Path != "" {
-		return p.Probe.Path
-	}
-	return set.DefaultProbePath
-}
-
-// coldRate returns the requests per second that a backend server of a service takes during
-// its cold start; zero if there is no limit, or no configuration yet.
-func (c *Sidecar) coldRate(service string) float64 {
-	return pool(c.syncer.Snapshot(), service).ColdRate
-}
-
-// pool returns the pool of a service, or the zero value if s, which may be nil, has none.
-func pool(s *snapshot.Snapshot, service string) set.Pool {
-	if s == nil {
-		return set.Pool{}
-	}
-	pools := s.Set().Pools
-	if i := slices.IndexFunc(pools, func(p set.Pool) bool { return p.Service == service }); i >= 0 {
-		return pools[i]
-	}
-	return set.Pool{}
-}
-
 // Ready reports whether callers may send requests: the node has a configuration and has
 // joined the fleet, and is not stopping.
 func (c *Sidecar) Ready() bool {
