Give a cold backend server requests first that may be repeated and have time

Callers of once-only requests got the errors and slow answers of backend servers that had just started, while others of the service had free slots: the scheduler of a cold backend server took requests in the order in which they came. Evidence: TestScheduler_SetCold_firstRequests on the code of before: once-only requests, and those whose deadline is near, start at once. Change: while a cold start paces a backend server, an offer that asks for a free slot is refused unless the request may be repeated and has five times its usual duration left. Offers that may wait are taken as before, so that it goes there when nothing else has room; in the queue, requests that suit the cold start go after nested ones, whose parents hold slots, and before others. Measured: the test and those of the package pass. Not measured: what the additional offers cost entries.

--- a/internal/backend/scheduler/limit.go
+++ b/internal/backend/scheduler/limit.go
@@ -53,6 +53,20 @@
 	return s.Tick(now)
 }
 
+// coldSlowdown is how many times its usual duration a request may take during a cold start.
+const coldSlowdown = 5
+
+// ColdPaced reports whether a cold start limits the requests that start at now.
+func (s *Scheduler) ColdPaced(now time.Time) bool {
+	return s.coldStart.paces(now)
+}
+
+// suitsColdStart reports whether t is among the first requests for a backend server in its cold start, in which it
+// is slow and more likely to fail: t may be repeated, and has time for that. Without a cold start all requests are.
+func (s *Scheduler) suitsColdStart(now time.Time, t Request) bool {
+	return !s.coldStart.paces(now) || t.Idempotent && !now.Add(coldSlowdown*s.usualDuration(t)).After(t.Deadline)
+}
+
 // startDelay returns the time until the nth request from now on may start by the limits in
 // force, as Limiter.Delay does.
 func (s *Scheduler) startDelay(now time.Time, n int) time.Duration {
--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -198,3 +198,38 @@
 		t.Errorf("got %+v after the cold start, want no limit", got)
 	}
 }
+
+// TestScheduler_SetCold_firstRequests guards against a cold backend server whose first requests are those that can
+// least afford a slow answer or an error: they may run only once, or their deadline is near.
+func TestScheduler_SetCold_firstRequests(t *testing.T) {
+	cold := func(slots int) *scheduler.Scheduler {
+		s := open(slots)
+		s.SetCold(at(0), scheduler.ColdStart{End: at(time.Minute), PerSecond: 2, RateKnown: true})
+		return s
+	}
+	newRequest := func(id uint64, level order.Level, idempotent bool, left time.Duration) scheduler.Request {
+		r := request(id, level)
+		r.Idempotent, r.Deadline = idempotent, at(time.Second+left)
+		return r
+	}
+	tests := []struct {
+		desc    string
+		request scheduler.Request
+		want    string
+	}{
+		{"may be repeated", newRequest(1, order.Trusted, true, time.Minute), "start 1;"},
+		{"runs only once", newRequest(1, order.Trusted, false, time.Minute), "refuse 1;"},
+		{"deadline is near", newRequest(1, order.Trusted, true, 200*time.Millisecond), "refuse 1;"},
+		{"runs only once, no free slot elsewhere", newRequest(1, order.Queued, false, time.Minute), "start 1;"},
+	}
+	for _, tt := range tests {
+		expect(t, tt.desc, cold(3).Acquire(at(time.Second), tt.request), tt.want)
+	}
+	s := cold(3)
+	expect(t, "queued, once only", s.Acquire(at(0), newRequest(1, order.Queued, false, time.Minute)), "wait 1;")
+	expect(t, "queued, may be repeated", s.Acquire(at(10*time.Millisecond), newRequest(2, order.Queued, true, time.Minute)), "wait 2;")
+	expect(t, "first start", s.Tick(s.NextTick()), "start 2;")
+	s.Release(at(510*time.Millisecond), 2, scheduler.Answered)
+	s = open(1)
+	expect(t, "not cold", s.Acquire(at(time.Second), newRequest(1, order.Trusted, false, time.Minute)), "start 1;")
+}
--- a/internal/backend/scheduler/queue.go
+++ b/internal/backend/scheduler/queue.go
@@ -83,8 +83,9 @@
 
 // precedes reports whether a starts before b. The order is: requests that can still meet
 // their objective, so that an overload does not make every request late; nested
-// requests, whose parent requests hold a slot meanwhile; priority; more calls already
-// answered for the same parent request; earlier due time; identifier.
+// requests, whose parent requests hold a slot meanwhile; requests that suit a cold start,
+// if there is one; priority; more calls already answered for the same parent request;
+// earlier due time; identifier.
 func (s *Scheduler) precedes(now time.Time, a, b Request) bool {
 	late := func(t Request) bool { return now.Add(s.expectedDuration(t.Route)).After(t.Due) }
 	if la, lb := late(a), late(b); la != lb {
@@ -93,6 +94,9 @@
 	if a.Nested != b.Nested {
 		return a.Nested
 	}
+	if sa, sb := s.suitsColdStart(now, a), s.suitsColdStart(now, b); sa != sb {
+		return sa
+	}
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.Steps, a.Steps), a.Due.Compare(b.Due), cmp.Compare(a.ID, b.ID)) < 0
 }
 
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -238,6 +238,9 @@
 	switch {
 	case !s.open || !s.mayStart(now, t):
 		return []Effect{s.refuse(now, t)}
+	case t.Level == order.Trusted && !s.suitsColdStart(now, t):
+		// Another backend server may have a free slot that is not cold.
+		return []Effect{s.refuse(now, t)}
 	case t.Level == order.Trusted && suspect >= trialThreshold:
 		if t.trialAllowed() && free > 0 && s.trialDue(now) {
 			return []Effect{s.start(now, t, true)}
