Learn from health checks whether a backend server is cold, also after an evacuation

Backend servers that returned from an evacuation cold got the whole load until their next heartbeat, up to 2.3 s later, and one that became cold again while it ran got nothing for seconds. Causes: the header Cold-Ms of health checks was not read; nothing was checked when a data centre returned; the bucket was charged between two cold starts; one service's pace was kept for the next. Change: backend/coldstart combines heartbeats, which may have been under way for 0.8 s, and health checks to one end of the cold start; backend/readmission keeps a returned backend server out of service until its health check is answered, or its next heartbeat arrives, for 2.6 s at most. A log line and a counter for each request that starts in a cold start, a gauge for the rest of it.

--- a/internal/node/executor/check.go
+++ b/internal/node/executor/check.go
@@ -114,19 +114,23 @@
 	ex.mu.Lock()
 	client := ex.client
 	ex.mu.Unlock()
+	sent := time.Now()
 	response, err := client.Do(ctx, &exchange.Request{
 		Method: http.MethodGet, Target: path, Host: ex.Address.String(), Header: http.Header{}, Idempotent: true,
 	})
 	if err != nil {
 		return err
 	}
+	received := time.Now()
 	_, err = io.CopyN(io.Discard, response.Body, maxHealthBody)
 	_ = response.Body.Close()
 	if !errors.Is(err, io.EOF) {
 		return &incompleteResponseError{err}
 	}
-	if identity := ex.Dialect.ReadResponse(response.Status, response.Header); response.Status != http.StatusOK || identity.InstanceID != a.InstanceID {
-		return &unconfirmedError{status: response.Status, instance: identity.InstanceID}
+	answer := ex.Dialect.ReadResponse(response.Status, response.Header)
+	if response.Status != http.StatusOK || answer.InstanceID != a.InstanceID {
+		return &unconfirmedError{status: response.Status, instance: answer.InstanceID}
 	}
+	ex.observeCheck(client, sent, received, answer.ColdStart)
 	return nil
 }
--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -49,6 +49,7 @@
 	started       time.Time
 	failingBefore float64                 // Failure probability of the backend server at the start.
 	limit         dialect.RequestLimit    // Limit that the backend server named last before the start.
+	cold          bool                    // A cold start limited the requests at the start.
 	body          *identifiedBody         // Nil if the fingerprint was known before the start.
 	ctx           context.Context         // Of the run.
 	stop          context.CancelCauseFunc // Ends the run.
@@ -71,7 +72,7 @@
 	now := time.Now()
 	x := &execution{
 		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: ex.scheduler.Load(now).FailureProbability,
-		limit: ex.limit, disconnected: make(chan struct{}),
+		limit: ex.limit, cold: ex.scheduler.ColdPaced(now), disconnected: make(chan struct{}),
 	}
 	if ex.running == nil {
 		ex.running = make(map[uint64]*execution)
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -13,8 +13,10 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/coldstart"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/incarnation"
+	"filbertturn.example/filbertturn/internal/backend/readmission"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/health/blame"
@@ -99,8 +101,9 @@
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
 	lastID    uint64    // Identifier of the latest request.
 	closing   bool
-	evacuated bool
-	coldUntil time.Time           // End of the cold start of the current incarnation, as it said last.
+	gate      readmission.Gate    // Closed while the data centre is evacuated, and until the return is confirmed.
+	cold      coldstart.Tracker   // Of the current incarnation.
+	pace      scheduler.ColdStart // As last given to the scheduler.
 	inFlight  map[uint64]struct{} // Requests that run or wait, by identifier.
 }
 
@@ -128,7 +131,7 @@
 	effect = ex.tracker.Heartbeat(a)
 	lost = ex.takeLost(a.ReceivedAt, effect)
 	ex.apply(effect)
-	ex.observeCold(effect)
+	ex.observeCold(earlier, effect)
 	return earlier, lost, effect
 }
 
@@ -201,7 +204,7 @@
 	defer ex.mu.Unlock()
 	a, serving := ex.tracker.Serving()
 	wasServing := ex.scheduler.Load(now).Serving
-	if serving && !ex.closing && !ex.evacuated {
+	if serving && !ex.closing && ex.gate.Open(now) {
 		if ex.client == nil {
 			ex.resetClient()
 		}
@@ -242,23 +245,6 @@
 	return len(ex.inFlight)
 }
 
-// SetEvacuated refuses new requests and those that wait for a slot while evacuated is true.
-// Running ones go on.
-func (ex *Executor) SetEvacuated(evacuated bool) {
-	wasServing := false
-	ex.locked(func() {
-		ex.evacuated = evacuated
-		wasServing = ex.scheduler.Load(time.Now()).Serving
-		if evacuated {
-			ex.deliver(ex.scheduler.Close(time.Now()))
-		}
-	})
-	if evacuated && wasServing {
-		ex.OnServingChange()
-	}
-	ex.openIfServing(time.Now())
-}
-
 // Stop refuses requests that wait for a slot. New ones start until startBy, unless they may take
 // longer than until endBy.
 func (ex *Executor) Stop(startBy, endBy time.Time) {
@@ -297,6 +283,7 @@
 	}
 	x.begin(ctx)
 	x.logLimited()
+	x.logCold()
 	reader, err := body()
 	if err != nil {
 		ex.release(id, scheduler.Cancelled)
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -43,6 +43,9 @@
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit = dialect.RequestLimit{Named: true, PerSecond: rate}
 	}
+	if rest, err := time.ParseDuration(h.Get("Cold")); err == nil {
+		a.ColdStart = dialect.ColdStart{Named: true, Remaining: rest}
+	}
 	a.Leaving = h.Get("Leaving") != ""
 	if h.Get("Malformed") != "" {
 		a.Malformed = errors.New("malformed")
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -433,6 +433,7 @@
 		}
 		return 0
 	})
+	c.metrics.RegisterGauge("backend_server_cold_milliseconds", func() int64 { return c.executor.ColdRemaining(time.Now()).Milliseconds() })
 	c.metrics.RegisterGauge("suspected_requests", func() int64 { return int64(len(c.guard.Cases())) })
 	c.metrics.RegisterGauge("peer_sessions", func() int64 { return int64(c.mesh.SessionCount()) })
 	c.metrics.RegisterGauge("peer_sent_bytes", func() int64 { sent, _ := c.mesh.Traffic(); return sent })
--- a/internal/request/dialect/dialect.go
+++ b/internal/request/dialect/dialect.go
@@ -37,6 +37,7 @@
 
 	InstanceID string // Identifier of the answering incarnation; empty if not given.
 	Limit      RequestLimit
+	ColdStart  ColdStart
 	Leaving    bool  // The incarnation is leaving and takes no new requests.
 	Malformed  error // Why a field was ignored that could not be read; nil if none was.
 }
@@ -48,6 +49,14 @@
 	PerSecond float64 // Requests per second, finite and not negative.
 }
 
+// ColdStart is what a response to a health check says of the cold start of the answering incarnation.
+// The zero value says nothing.
+type ColdStart struct {
+	Named     bool
+	Remaining time.Duration // Not negative; zero if it is not cold.
+	Malformed error         // Why it was ignored; nil if it was not.
+}
+
 // Dialect translates between headers and the types of this package. Implementations make
 // no routing or retry decisions.
 type Dialect interface {
