--- a/internal/backend/coldstart/tracker.go
+++ b/internal/backend/coldstart/tracker.go
@@ -32,13 +32,16 @@
 	t.heartbeat = statement{end: received.Add(max(remaining, 0)), after: received.Add(-maxHeartbeatDelay), upTo: received}
 }
 
-// ObserveCheck records the rest of the cold start that the answer to a health check named. An answer to an
-// earlier check than the one before changes nothing.
+// ObserveCheck records the rest of the cold start that the answer to a health check named. Of answers whose order is not
+// known the later end counts.
 func (t *Tracker) ObserveCheck(sent, received time.Time, remaining time.Duration) {
-	if sent.Before(t.check.after) {
-		return
+	c := statement{end: received.Add(max(remaining, 0)), after: sent, upTo: received}
+	switch {
+	case c.madeAfter(t.check):
+		t.check = c
+	case !t.check.madeAfter(c):
+		t.check = statement{end: latest(t.check.end, c.end), after: earliest(t.check.after, sent), upTo: latest(t.check.upTo, received)}
 	}
-	t.check = statement{end: received.Add(max(remaining, 0)), after: sent, upTo: received}
 }
 
 // End returns the end of the cold start, as it was named last; a time that has passed if there is none. If it is
@@ -47,9 +50,23 @@
 	switch h, c := t.heartbeat, t.check; {
 	case h.madeAfter(c):
 		return h.end
-	case c.madeAfter(h) || c.end.After(h.end):
+	case c.madeAfter(h):
 		return c.end
 	default:
-		return h.end
+		return latest(h.end, c.end)
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
--- a/internal/backend/coldstart/tracker_test.go
+++ b/internal/backend/coldstart/tracker_test.go
@@ -34,7 +34,7 @@
 		{"heartbeat sent before the health check", []func(*coldstart.Tracker){check(0, 20*ms, 2*time.Second), heartbeat(500*ms, 0)}, 2020 * ms},
 		{"heartbeat sent after it", []func(*coldstart.Tracker){check(0, 20*ms, 2*time.Second), heartbeat(900*ms, 0)}, 900 * ms},
 		{"heartbeat during the health check", []func(*coldstart.Tracker){heartbeat(10*ms, 2*time.Second), check(0, 20*ms, 0)}, 2010 * ms},
-		{"earlier health check", []func(*coldstart.Tracker){check(10*ms, 20*ms, 2*time.Second), check(0, 30*ms, 0)}, 2020 * ms},
+		{"health checks at the same time", []func(*coldstart.Tracker){check(10*ms, 20*ms, 2*time.Second), check(0, 30*ms, 0)}, 2020 * ms},
 	}
 	for _, tt := range tests {
 		var tr coldstart.Tracker
