--- a/internal/backend/coldstart/tracker_test.go
+++ b/internal/backend/coldstart/tracker_test.go
@@ -35,6 +35,7 @@
 		{"heartbeat sent after it", []func(*coldstart.Tracker){check(0, 20*ms, 2*time.Second), heartbeat(900*ms, 0)}, 900 * ms},
 		{"heartbeat during the health check", []func(*coldstart.Tracker){heartbeat(10*ms, 2*time.Second), check(0, 20*ms, 0)}, 2010 * ms},
 		{"health checks at the same time", []func(*coldstart.Tracker){check(10*ms, 20*ms, 2*time.Second), check(0, 30*ms, 0)}, 2020 * ms},
+		{"the earlier one answered later", []func(*coldstart.Tracker){check(10*ms, 20*ms, 0), check(0, 30*ms, 2*time.Second)}, 2030 * ms},
 	}
 	for _, tt := range tests {
 		var tr coldstart.Tracker
--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -197,6 +197,9 @@
 	if got := s.Load(at(310 * time.Millisecond)); got.LimitInterval != 0 || got.LimitDelay > 0 {
 		t.Errorf("got %+v after the cold start, want no limit", got)
 	}
+	s.Release(at(350*time.Millisecond), 1, scheduler.Answered)
+	s.SetCold(at(2*time.Second), scheduler.ColdStart{End: at(time.Minute), PerSecond: 2, RateKnown: true})
+	expect(t, "cold again, nothing saved up", s.Acquire(at(2*time.Second), request(2, order.Queued)), "wait 2;")
 }
 
 // TestScheduler_SetCold_firstRequests guards against a cold backend server whose first requests are those that can
