Check the end of a pace by what the node knows, not by a number of requests

Two new tests failed on a busy machine (load average 20): TestExecutor_ConfigurationChanged_coldRate once in six plays, 8 requests in 300 ms where 30 were wanted, and TestNode_coldReturn once in three, 4 requests in a second where more than 11 were wanted. Both wanted a rate of requests that a starved test does not send; that this is the cause is likely, not shown.

--- a/internal/node/executor/cold_test.go
+++ b/internal/node/executor/cold_test.go
@@ -166,8 +166,8 @@
 	checkPace(t, "rate lowered", ex, s, 14)
 	rate.Store(0)
 	ex.ConfigurationChanged()
-	if got, least := press(t, ex, s, 300*time.Millisecond), 30; got < least {
-		t.Errorf("got %d requests in 300 ms after the limit was removed, want at least %d", got, least)
+	if got := ex.Load(time.Now()).LimitInterval; got != 0 {
+		t.Errorf("got %s between two requests after the limit was removed, want none", got)
 	}
 }
 
