--- a/internal/backend/scheduler/limit_test.go
+++ b/internal/backend/scheduler/limit_test.go
@@ -162,7 +162,7 @@
 				}
 			}
 		}
-		play(s.SetCold(now, rate, ends))
+		play(s.SetCold(now, scheduler.ColdStart{End: ends, PerSecond: rate, RateKnown: true}))
 		for id := range uint64(400) {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "gap")) * time.Millisecond)
 			switch rapid.IntRange(0, 50).Draw(t, "event") {
@@ -171,7 +171,7 @@
 			case 1:
 				play(s.Unlimit(now, now.Add(time.Microsecond)))
 			case 2:
-				play(s.SetCold(now, rate, ends))
+				play(s.SetCold(now, scheduler.ColdStart{End: ends, PerSecond: rate, RateKnown: true}))
 			}
 			r := request(id, order.Level(rapid.IntRange(int(order.Trusted), int(order.Any)).Draw(t, "level")))
 			r.Deadline, r.QueueDeadline = now.Add(4*time.Second), now.Add(2*time.Second)
@@ -188,7 +188,7 @@
 // cold start is over.
 func TestScheduler_SetCold_end(t *testing.T) {
 	s := open(3)
-	s.SetCold(at(0), 0.5, at(300*time.Millisecond))
+	s.SetCold(at(0), scheduler.ColdStart{End: at(300 * time.Millisecond), PerSecond: 0.5, RateKnown: true})
 	expect(t, "cold", s.Acquire(at(0), request(1, order.Queued)), "wait 1;")
 	if got, want := s.NextTick(), at(300*time.Millisecond); !got.Equal(want) {
 		t.Errorf("got the next tick at %s, want %s", got, want)
@@ -197,4 +197,42 @@
 	if got := s.Load(at(310 * time.Millisecond)); got.LimitInterval != 0 || got.LimitDelay > 0 {
 		t.Errorf("got %+v after the cold start, want no limit", got)
 	}
+	s.Release(at(350*time.Millisecond), 1, scheduler.Answered)
+	s.SetCold(at(2*time.Second), scheduler.ColdStart{End: at(time.Minute), PerSecond: 2, RateKnown: true})
+	expect(t, "cold again, nothing saved up", s.Acquire(at(2*time.Second), request(2, order.Queued)), "wait 2;")
+}
+
+// TestScheduler_SetCold_firstRequests guards against a cold backend server whose first requests are those that can
+// least afford a slow answer or an error: they may run only once, or their deadline is near.
+func TestScheduler_SetCold_firstRequests(t *testing.T) {
+	cold := func(slots int) *scheduler.Scheduler {
+		s := open(slots)
+		s.SetCold(at(0), scheduler.ColdStart{End: at(time.Minute), PerSecond: 2, RateKnown: true})
+		return s
+	}
+	newRequest := func(id uint64, level order.Level, idempotent bool, left time.Duration) scheduler.Request {
+		r := request(id, level)
+		r.Idempotent, r.Deadline = idempotent, at(time.Second+left)
+		return r
+	}
+	tests := []struct {
+		desc    string
+		request scheduler.Request
+		want    string
+	}{
+		{"may be repeated", newRequest(1, order.Trusted, true, time.Minute), "start 1;"},
+		{"runs only once", newRequest(1, order.Trusted, false, time.Minute), "refuse 1;"},
+		{"deadline is near", newRequest(1, order.Trusted, true, 200*time.Millisecond), "refuse 1;"},
+		{"runs only once, no free slot elsewhere", newRequest(1, order.Queued, false, time.Minute), "start 1;"},
+	}
+	for _, tt := range tests {
+		expect(t, tt.desc, cold(3).Acquire(at(time.Second), tt.request), tt.want)
+	}
+	s := cold(3)
+	expect(t, "queued, once only", s.Acquire(at(0), newRequest(1, order.Queued, false, time.Minute)), "wait 1;")
+	expect(t, "queued, may be repeated", s.Acquire(at(10*time.Millisecond), newRequest(2, order.Queued, true, time.Minute)), "wait 2;")
+	expect(t, "first start", s.Tick(s.NextTick()), "start 2;")
+	s.Release(at(510*time.Millisecond), 2, scheduler.Answered)
+	s = open(1)
+	expect(t, "not cold", s.Acquire(at(time.Second), newRequest(1, order.Trusted, false, time.Minute)), "start 1;")
 }
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -13,8 +13,10 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/coldstart"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/incarnation"
+	"filbertturn.example/filbertturn/internal/backend/readmission"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/health/blame"
@@ -63,8 +65,9 @@
 	HealthPath func(service string) string
 
 	// ColdRate returns the requests per second that a backend server of the service takes
-	// during its cold start; zero if there is no limit.
-	ColdRate func(service string) float64
+	// during its cold start, zero if there is no limit, and whether that is known: without
+	// a configuration it is not.
+	ColdRate func(service string) (perSecond float64, known bool)
 
 	// Quarantine holds the requests that crash backend servers; nil if none is known.
 	Quarantine Quarantine
@@ -98,7 +101,9 @@
 	timerDue  time.Time // Time at which timer fires; zero if it is not set.
 	lastID    uint64    // Identifier of the latest request.
 	closing   bool
-	evacuated bool
+	gate      readmission.Gate    // Closed while the data centre is evacuated, and until the return is confirmed.
+	cold      coldstart.Tracker   // Of the current incarnation.
+	pace      scheduler.ColdStart // As last given to the scheduler.
 	inFlight  map[uint64]struct{} // Requests that run or wait, by identifier.
 }
 
@@ -126,7 +131,7 @@
 	effect = ex.tracker.Heartbeat(a)
 	lost = ex.takeLost(a.ReceivedAt, effect)
 	ex.apply(effect)
-	ex.setCold(effect)
+	ex.observeCold(earlier, effect)
 	return earlier, lost, effect
 }
 
@@ -175,20 +180,6 @@
 	}
 }
 
-// setCold paces requests during the cold start that a heartbeat announces. ex.mu must be held.
-func (ex *Executor) setCold(effect incarnation.Effect) {
-	var a incarnation.Announcement
-	switch e := effect.(type) {
-	case incarnation.Discovered:
-		a = e.Announcement
-	case incarnation.Updated:
-		a = e.Announcement
-	default:
-		return
-	}
-	ex.deliver(ex.scheduler.SetCold(a.ReceivedAt, ex.ColdRate(a.Service), a.ReceivedAt.Add(a.ColdStart)))
-}
-
 func (ex *Executor) resetClient() {
 	if ex.client != nil {
 		ex.client.Close()
@@ -213,7 +204,7 @@
 	defer ex.mu.Unlock()
 	a, serving := ex.tracker.Serving()
 	wasServing := ex.scheduler.Load(now).Serving
-	if serving && !ex.closing && !ex.evacuated {
+	if serving && !ex.closing && ex.gate.Open(now) {
 		if ex.client == nil {
 			ex.resetClient()
 		}
@@ -254,23 +245,6 @@
 	return len(ex.inFlight)
 }
 
-// SetEvacuated refuses new requests and those that wait for a slot while evacuated is true.
-// Running ones go on.
-func (ex *Executor) SetEvacuated(evacuated bool) {
-	wasServing := false
-	ex.locked(func() {
-		ex.evacuated = evacuated
-		wasServing = ex.scheduler.Load(time.Now()).Serving
-		if evacuated {
-			ex.deliver(ex.scheduler.Close(time.Now()))
-		}
-	})
-	if evacuated && wasServing {
-		ex.OnServingChange()
-	}
-	ex.openIfServing(time.Now())
-}
-
 // Stop refuses requests that wait for a slot. New ones start until startBy, unless they may take
 // longer than until endBy.
 func (ex *Executor) Stop(startBy, endBy time.Time) {
@@ -309,6 +283,7 @@
 	}
 	x.begin(ctx)
 	x.logLimited()
+	x.logCold()
 	reader, err := body()
 	if err != nil {
 		ex.release(id, scheduler.Cancelled)
--- a/internal/node/executor/executor_test.go
+++ b/internal/node/executor/executor_test.go
@@ -43,6 +43,9 @@
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit = dialect.RequestLimit{Named: true, PerSecond: rate}
 	}
+	if rest, err := time.ParseDuration(h.Get("Cold")); err == nil {
+		a.ColdStart = dialect.ColdStart{Named: true, Remaining: rest}
+	}
 	a.Leaving = h.Get("Leaving") != ""
 	if h.Get("Malformed") != "" {
 		a.Malformed = errors.New("malformed")
@@ -80,7 +83,7 @@
 	return &executor.Executor{
 		Address: address, Dialect: fakeDialect{}, HealthPath: func(string) string { return "/healthz" }, Log: zerolog.New(l),
 		Stamp: func(time.Time) freshness.Stamp { return freshness.Stamp{} }, OnServingChange: func() {},
-		ColdRate: func(string) float64 { return 10 }, Identify: fingerprint.Key{1}.Start,
+		ColdRate: func(string) (float64, bool) { return 10, true }, Identify: fingerprint.Key{1}.Start,
 	}
 }
 
