--- /dev/null
+++ b/internal/limit/budget/budget.go
@@ -0,0 +1,281 @@
+// Package budget divides the memory and the descriptors of a node among those that connect to it, and decides who
+// is refused or evicted when they are used up. It is made for a crowd of clients each of which sends requests of
+// legal size, or nothing, while ordinary callers go on: what the crowd holds together is bounded, ordinary
+// callers keep their connections, and other nodes, health checks and the operator keep a part of their own.
+package budget
+
+import (
+	"container/list"
+	"time"
+)
+
+// Part is a group of holders that has a part of the budget reserved.
+type Part uint8
+
+// The parts.
+const (
+	Callers Part = iota
+	Beside       // The backend server beside the node.
+	Nodes
+	Readiness
+	Heartbeats
+	Operator
+	Parts // Number of parts.
+)
+
+// String returns the name of the part in logs and metrics.
+func (p Part) String() string {
+	names := [Parts]string{"Callers", "BackendServer", "Nodes", "Readiness", "Heartbeats", "Operator"}
+	if p >= Parts {
+		return "Unknown"
+	}
+	return names[p]
+}
+
+// Amount is what a holder draws.
+type Amount struct {
+	Files int64 // Descriptors.
+	Bytes int64 // Memory.
+}
+
+func (a Amount) plus(b Amount) Amount  { return Amount{a.Files + b.Files, a.Bytes + b.Bytes} }
+func (a Amount) minus(b Amount) Amount { return Amount{a.Files - b.Files, a.Bytes - b.Bytes} }
+func (a Amount) max(b Amount) Amount   { return Amount{max(a.Files, b.Files), max(a.Bytes, b.Bytes)} }
+func (a Amount) fits(in Amount) bool   { return a.Files <= in.Files && a.Bytes <= in.Bytes }
+
+// Limits are the bounds of a budget.
+type Limits struct {
+	Total    Amount
+	Reserved [Parts]Amount
+
+	// Grace is the age from which a newcomer may be evicted for another one: a client that behaves has sent its
+	// request by then.
+	Grace time.Duration
+}
+
+// Claim describes a new holder.
+type Claim struct {
+	Part   Part
+	Amount Amount
+	Useful bool // It is no newcomer.
+	Busy   bool // It may not be evicted.
+}
+
+// holder is a connection, or a request of another node.
+type holder struct {
+	id     uint64
+	part   Part
+	drawn  Amount
+	useful bool      // It has sent a request that was served.
+	since  time.Time // When it sent that, or was opened.
+	busy   int       // Requests that were read and not answered.
+	place  *list.Element
+}
+
+// Budget accounts for what is drawn. A newcomer is a holder that has sent nothing useful yet: newcomers of a part
+// hold half of what the part can get at most. Limits must be set before it is used.
+type Budget struct {
+	Limits Limits
+
+	used      [Parts]Amount
+	newcomers [Parts]Amount // Part of used that newcomers hold.
+	holders   map[uint64]*holder
+	lastID    uint64
+
+	// Those that may be evicted, in the order in which they last were useful.
+	waiting, ordinary [Parts]list.List
+}
+
+// Used returns what a part holds.
+func (b *Budget) Used(p Part) Amount { return b.used[p] }
+
+// Open adds a holder. It returns its identifier, and the holders that were evicted for it, which are no longer
+// in the budget. It reports whether there is room.
+func (b *Budget) Open(now time.Time, c Claim) (id uint64, evicted []uint64, ok bool) {
+	h := &holder{part: c.Part, useful: c.Useful, since: now}
+	evicted, ok = b.makeRoom(now, h, c.Amount)
+	if !ok {
+		return 0, evicted, false
+	}
+	if b.holders == nil {
+		b.holders = make(map[uint64]*holder)
+	}
+	b.lastID++
+	h.id = b.lastID
+	b.holders[h.id] = h
+	b.add(h, c.Amount)
+	if c.Busy {
+		h.busy = 1
+	}
+	b.enqueue(h)
+	return h.id, evicted, true
+}
+
+// Draw gives memory to a holder. Without room, or for a holder that is not in the budget, it gives none.
+func (b *Budget) Draw(now time.Time, id uint64, bytes int64) (evicted []uint64, ok bool) {
+	h := b.holders[id]
+	if h == nil {
+		return nil, false
+	}
+	a := Amount{Bytes: bytes}
+	evicted, ok = b.makeRoom(now, h, a)
+	if ok {
+		b.add(h, a)
+	}
+	return evicted, ok
+}
+
+// Return takes memory back from a holder, at most what it has drawn.
+func (b *Budget) Return(id uint64, bytes int64) {
+	if h := b.holders[id]; h != nil {
+		b.add(h, Amount{Bytes: -min(bytes, h.drawn.Bytes)})
+	}
+}
+
+// Begin keeps a holder from being evicted, because a request of it was read.
+func (b *Budget) Begin(id uint64) {
+	h := b.holders[id]
+	if h == nil {
+		return
+	}
+	h.busy++
+	b.dequeue(h)
+}
+
+// End ends what Begin began. useful says whether the request was served.
+func (b *Budget) End(now time.Time, id uint64, useful bool) {
+	h := b.holders[id]
+	if h == nil || h.busy == 0 {
+		return
+	}
+	h.busy--
+	if useful {
+		if !h.useful {
+			h.useful = true
+			b.newcomers[h.part] = b.newcomers[h.part].minus(h.drawn)
+		}
+		h.since = now
+	}
+	b.enqueue(h)
+}
+
+// Close takes back all that a holder has drawn, unless that was done before.
+func (b *Budget) Close(id uint64) {
+	h := b.holders[id]
+	if h == nil {
+		return
+	}
+	b.dequeue(h)
+	b.add(h, Amount{}.minus(h.drawn))
+	delete(b.holders, id)
+}
+
+// add changes what a holder has drawn.
+func (b *Budget) add(h *holder, a Amount) {
+	h.drawn = h.drawn.plus(a)
+	b.used[h.part] = b.used[h.part].plus(a)
+	if !h.useful {
+		b.newcomers[h.part] = b.newcomers[h.part].plus(a)
+	}
+}
+
+// available returns what a part may hold, given what the others hold or have reserved.
+func (b *Budget) available(p Part) Amount {
+	a := b.Limits.Total
+	for q := range Parts {
+		if q != p {
+			a = a.minus(b.Limits.Reserved[q].max(b.used[q]))
+		}
+	}
+	return a
+}
+
+// newcomersLimit returns what newcomers of a part may hold: half of what it gets if the others hold no more than
+// what is reserved for them.
+func (b *Budget) newcomersLimit(p Part) Amount {
+	a := b.Limits.Total
+	for q := range Parts {
+		if q != p {
+			a = a.minus(b.Limits.Reserved[q])
+		}
+	}
+	return Amount{a.Files / 2, a.Bytes / 2}
+}
+
+// fits reports whether a holder can draw an amount.
+func (b *Budget) fits(h *holder, a Amount) bool {
+	return b.used[h.part].plus(a).fits(b.available(h.part)) && b.newcomerFits(h, a)
+}
+
+func (b *Budget) newcomerFits(h *holder, a Amount) bool {
+	return h.useful || b.newcomers[h.part].plus(a).fits(b.newcomersLimit(h.part))
+}
+
+// makeRoom evicts holders until one can draw an amount, and reports whether it can.
+func (b *Budget) makeRoom(now time.Time, h *holder, a Amount) (evicted []uint64, ok bool) {
+	for !b.fits(h, a) {
+		v := b.victim(now, h, a)
+		if v == nil {
+			return evicted, false
+		}
+		evicted = append(evicted, v.id)
+		b.Close(v.id)
+	}
+	return evicted, true
+}
+
+// victim returns the holder that is to be evicted for h, or nil if h is to be refused. Newcomers go first. Ordinary
+// holders go for a newcomer only if that is within the newcomers' half, and otherwise for those that were useful
+// after them.
+func (b *Budget) victim(now time.Time, h *holder, a Amount) *holder {
+	if v := front(&b.waiting[h.part], h); v != nil && (h.useful || now.Sub(v.since) >= b.Limits.Grace && v.since.Before(h.since)) {
+		return v
+	}
+	v := front(&b.ordinary[h.part], h)
+	if v == nil || !v.since.Before(h.since) || !b.newcomerFits(h, a) {
+		return nil
+	}
+	return v
+}
+
+// front returns the first holder of a list that is not h.
+func front(l *list.List, h *holder) *holder {
+	e := l.Front()
+	if e != nil && e == h.place {
+		e = e.Next()
+	}
+	if e == nil {
+		return nil
+	}
+	return e.Value.(*holder)
+}
+
+// enqueue lets a holder be evicted unless it is busy. A newcomer whose request was of no use goes before the others.
+func (b *Budget) enqueue(h *holder) {
+	b.dequeue(h)
+	switch {
+	case h.busy > 0:
+	case h.useful:
+		h.place = b.ordinary[h.part].PushBack(h)
+	case h.since.IsZero() || b.isOldest(h):
+		h.place = b.waiting[h.part].PushFront(h)
+	default:
+		h.place = b.waiting[h.part].PushBack(h)
+	}
+}
+
+// isOldest reports whether a newcomer was opened before the first that waits.
+func (b *Budget) isOldest(h *holder) bool {
+	first := front(&b.waiting[h.part], h)
+	return first != nil && h.since.Before(first.since)
+}
+
+func (b *Budget) dequeue(h *holder) {
+	if h.place == nil {
+		return
+	}
+	// A list leaves alone what is not in it.
+	b.ordinary[h.part].Remove(h.place)
+	b.waiting[h.part].Remove(h.place)
+	h.place = nil
+}
--- /dev/null
+++ b/internal/limit/budget/budget_test.go
@@ -0,0 +1,172 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "filbertturn.example/filbertturn/internal/check/seed"
+	"filbertturn.example/filbertturn/internal/limit/budget"
+)
+
+const grace = time.Second
+
+// limits are small, so that the budget is used up after a few holders.
+func limits() budget.Limits {
+	l := budget.Limits{Total: budget.Amount{Files: 24, Bytes: 2400}, Grace: grace}
+	for p := range budget.Parts {
+		l.Reserved[p] = budget.Amount{Files: 2, Bytes: 200}
+	}
+	return l
+}
+
+// model is what a test knows of a holder.
+type model struct {
+	part   budget.Part
+	bytes  int64
+	busy   int
+	useful bool
+	since  time.Time
+}
+
+// TestBudget guards against amounts that are given back twice or never, parts that others take, requests under way
+// that are evicted, and ordinary callers that are evicted before the silent: a random load of all parts, with more
+// than the budget has.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := budget.Budget{Limits: limits()}
+		now := time.Unix(1, 0)
+		held := map[uint64]*model{}
+		var ids []uint64
+		evict := func(list []uint64, by model) {
+			for _, id := range list {
+				m := held[id]
+				if m == nil || m.busy > 0 || m.part != by.part {
+					t.Fatalf("got %d evicted for %+v, which is %+v", id, by, m)
+				}
+				delete(held, id)
+				for _, other := range held {
+					if m.useful && by.useful && other.part == m.part && !other.useful && other.busy == 0 && other != &by && other.since != by.since {
+						t.Fatalf("got the ordinary %+v evicted before the newcomer %+v", m, other)
+					}
+				}
+				if m.useful && !m.since.Before(by.since) {
+					t.Fatalf("got %+v evicted for %+v, which was useful later", by, m)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "pause")) * time.Millisecond)
+			var id uint64
+			if len(ids) > 0 {
+				id = rapid.SampledFrom(ids).Draw(t, "holder")
+			}
+			m := held[id]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				c := budget.Claim{Part: budget.Part(rapid.IntRange(0, int(budget.Parts)-1).Draw(t, "part")), Useful: rapid.Bool().Draw(t, "useful"), Busy: rapid.Bool().Draw(t, "busy")}
+				c.Amount = budget.Amount{Files: 1, Bytes: int64(rapid.IntRange(0, 100).Draw(t, "bytes"))}
+				before := b.Used(c.Part)
+				opened, evicted, ok := b.Open(now, c)
+				n := model{part: c.Part, bytes: c.Amount.Bytes, useful: c.Useful, since: now}
+				if c.Busy {
+					n.busy = 1
+				}
+				evict(evicted, n)
+				if ok {
+					held[opened], ids = &n, append(ids, opened)
+				} else if c.Useful && before.Files < 2 && before.Bytes+c.Amount.Bytes <= 200 {
+					t.Fatalf("got %s refused, which holds %+v", c.Part, before)
+				}
+			case 2:
+				evicted, ok := b.Draw(now, id, 90)
+				if m == nil && ok {
+					t.Fatal("got memory for a holder that is gone")
+				} else if m != nil {
+					evict(evicted, *m)
+				}
+				if ok {
+					m.bytes += 90
+				}
+			case 3:
+				n := int64(rapid.IntRange(0, 300).Draw(t, "returned"))
+				b.Return(id, n)
+				if m != nil {
+					m.bytes -= min(n, m.bytes)
+				}
+			case 4:
+				useful := rapid.Bool().Draw(t, "useful")
+				if m == nil || m.busy == 0 {
+					b.Begin(id)
+					if m != nil {
+						m.busy++
+					}
+					break
+				}
+				b.End(now, id, useful)
+				m.busy--
+				if useful {
+					m.useful, m.since = true, now
+				}
+			case 5:
+				b.Close(id)
+				b.Close(id)
+				delete(held, id)
+			}
+			check(t, &b, held)
+		}
+		for _, id := range ids {
+			b.Close(id)
+		}
+		check(t, &b, nil)
+	})
+}
+
+// check compares what the budget holds with what was drawn.
+func check(t *rapid.T, b *budget.Budget, held map[uint64]*model) {
+	var want [budget.Parts]budget.Amount
+	for _, m := range held {
+		want[m.part].Files++
+		want[m.part].Bytes += m.bytes
+	}
+	var sum budget.Amount
+	for p := range budget.Parts {
+		if got := b.Used(p); got != want[p] {
+			t.Fatalf("%s: got %+v in use, want %+v", p, got, want[p])
+		}
+		r := b.Limits.Reserved[p]
+		sum.Files += max(want[p].Files, r.Files)
+		sum.Bytes += max(want[p].Bytes, r.Bytes)
+	}
+	if l := b.Limits.Total; sum.Files > l.Files || sum.Bytes > l.Bytes {
+		t.Fatalf("got %+v in use and reserved, want %+v at most", sum, l)
+	}
+}
+
+// TestBudget_crowd guards against newcomers that lock out each other for good, or the ordinary callers.
+func TestBudget_crowd(t *testing.T) {
+	b := budget.Budget{Limits: limits()}
+	now := time.Unix(1, 0)
+	one := budget.Claim{Part: budget.Callers, Amount: budget.Amount{Files: 1}}
+	ordinary, _, _ := b.Open(now, one)
+	b.Begin(ordinary)
+	b.End(now, ordinary, true)
+	var first uint64
+	for i := range 50 {
+		id, evicted, ok := b.Open(now, one)
+		if i == 0 {
+			first = id
+		}
+		if want := i < 7; ok != want || len(evicted) > 0 {
+			t.Fatalf("newcomer %d: got %t and %v evicted, want %t and none", i, ok, evicted, want)
+		}
+	}
+	_, evicted, ok := b.Open(now.Add(grace), one)
+	if !ok || len(evicted) != 1 || evicted[0] != first {
+		t.Errorf("got %t and %v evicted for one that comes later, want the first newcomer, %d", ok, evicted, first)
+	}
+	if _, ok := b.Draw(now, ordinary, 900); !ok {
+		t.Error("got the ordinary caller refused, want newcomers to leave it half of the part")
+	}
+}
