Bound what clients and nodes take of a node's memory and descriptors

Callers lost all requests of a node whose process untrusted clients had ended: 200 clients with legal heads took 200 to 835 MB. net/http bounds one head and one connection, nothing bounded their sum, copies at the owner, frames of nodes, or bodies that never arrive.

Each connection draws from a budget (internal/limit/budget) that follows from limits.memory_mb and limits.max_fds. Heads are counted and paid for as they are read (internal/request/headcount, internal/node/admission); streams of nodes pay for frames and their fields before they are decoded.

Measured (live heap of 10 heads of 8,000 lines): a line takes 23 to 144 bytes as read, 88 as encoded for an owner and 7 to 28 in its frame; at the owner 7 to 28, 88 to 120 decoded and 116 in the header. A silent connection takes 10 to 16 KB with both of its ends.

--- a/internal/config/set/order.go
+++ b/internal/config/set/order.go
@@ -16,6 +16,7 @@
 		Limits:    sorted(s.Limits, func(l Limit) string { return l.Name }),
 		Pools:     sorted(s.Pools, func(p Pool) string { return p.Name }),
 		Operators: sorted(s.Operators, func(o Operator) string { return o.Name }),
+		Clients:   s.Clients,
 	}
 	for i := range c.Routes {
 		c.Routes[i].Methods = trimmed(c.Routes[i].Methods)
--- a/internal/config/set/set.go
+++ b/internal/config/set/set.go
@@ -13,6 +13,15 @@
 	Limits    []Limit    `json:",omitempty"`
 	Pools     []Pool     `json:",omitempty"`
 	Operators []Operator `json:",omitempty"`
+	Clients   Clients    `json:",omitzero"`
+}
+
+// Clients are the limits of what clients may send. Zero values mean the defaults of the nodes.
+type Clients struct {
+	MaxHead       int64         `json:",omitempty"` // Bytes of the head of a request.
+	MaxBody       int64         `json:",omitempty"` // Bytes of its body.
+	HeaderTimeout time.Duration `json:",omitempty"` // Time in which the head has to arrive.
+	IdleTimeout   time.Duration `json:",omitempty"` // Time for which a connection may be kept without a request.
 }
 
 // Route sends requests whose path starts with Prefix to a pool, or to several
--- a/internal/limit/budget/budget.go
+++ b/internal/limit/budget/budget.go
@@ -25,8 +25,8 @@
 
 // String returns the name of the part in logs and metrics.
 func (p Part) String() string {
-	names := [Parts]string{"Callers", "BackendServer", "Nodes", "Readiness", "Heartbeats", "Operator"}
-	if p >= Parts {
+	names := []string{"Callers", "BackendServer", "Nodes", "Readiness", "Heartbeats", "Operator"}
+	if int(p) >= len(names) {
 		return "Unknown"
 	}
 	return names[p]
@@ -51,6 +51,9 @@
 	// Grace is the age from which a newcomer may be evicted for another one: a client that behaves has sent its
 	// request by then.
 	Grace time.Duration
+
+	// Share is the memory up to which an ordinary holder may draw at the cost of others.
+	Share int64
 }
 
 // Claim describes a new holder.
@@ -69,6 +72,7 @@
 	useful bool      // It has sent a request that was served.
 	since  time.Time // When it sent that, or was opened.
 	busy   int       // Requests that were read and not answered.
+	began  time.Time // When it drew first since then, unless it is a newcomer.
 	place  *list.Element
 }
 
@@ -83,7 +87,9 @@
 	lastID    uint64
 
 	// Those that may be evicted, in the order in which they last were useful.
-	waiting, ordinary [Parts]list.List
+	// Ordinary ones that have drawn memory for a request which is not read yet are in partial, in the order in which they
+	// began.
+	waiting, partial, ordinary [Parts]list.List
 }
 
 // Used returns what a part holds.
@@ -119,10 +125,15 @@
 	}
 	a := Amount{Bytes: bytes}
 	evicted, ok = b.makeRoom(now, h, a)
-	if ok {
-		b.add(h, a)
+	if !ok {
+		return evicted, false
 	}
-	return evicted, ok
+	b.add(h, a)
+	if h.useful && h.busy == 0 && h.began.IsZero() {
+		h.began = now
+		b.enqueue(h)
+	}
+	return evicted, true
 }
 
 // Return takes memory back from a holder, at most what it has drawn.
@@ -149,6 +160,7 @@
 		return
 	}
 	h.busy--
+	h.began = time.Time{}
 	if useful {
 		if !h.useful {
 			h.useful = true
@@ -224,15 +236,23 @@
 	return evicted, true
 }
 
-// victim returns the holder that is to be evicted for h, or nil if h is to be refused. Newcomers go first. Ordinary
-// holders go for a newcomer only if that is within the newcomers' half, and otherwise for those that were useful
-// after them.
+// victim returns the holder that is to be evicted for h, or nil if h is to be refused. Newcomers go first, and then those
+// that are slow with a request, or have drawn more for it than their share while h has not. Other ordinary holders go
+// for a newcomer only if that is within the newcomers' half, and otherwise for those that were useful after them and
+// draw no more than their share.
 func (b *Budget) victim(now time.Time, h *holder, a Amount) *holder {
 	if v := front(&b.waiting[h.part], h); v != nil && (h.useful || now.Sub(v.since) >= b.Limits.Grace && v.since.Before(h.since)) {
 		return v
 	}
+	modest := a.Files > 0 || h.drawn.Bytes+a.Bytes <= b.Limits.Share
+	if !b.newcomerFits(h, a) {
+		return nil
+	}
+	if v := front(&b.partial[h.part], h); v != nil && (now.Sub(v.began) >= b.Limits.Grace || modest && v.drawn.Bytes > b.Limits.Share) {
+		return v
+	}
 	v := front(&b.ordinary[h.part], h)
-	if v == nil || !v.since.Before(h.since) || !b.newcomerFits(h, a) {
+	if !modest || v == nil || !v.since.Before(h.since) {
 		return nil
 	}
 	return v
@@ -255,9 +275,11 @@
 	b.dequeue(h)
 	switch {
 	case h.busy > 0:
+	case h.useful && !h.began.IsZero():
+		h.place = b.partial[h.part].PushBack(h)
 	case h.useful:
 		h.place = b.ordinary[h.part].PushBack(h)
-	case h.since.IsZero() || b.isOldest(h):
+	case b.isOldest(h):
 		h.place = b.waiting[h.part].PushFront(h)
 	default:
 		h.place = b.waiting[h.part].PushBack(h)
@@ -276,6 +298,7 @@
 	}
 	// A list leaves alone what is not in it.
 	b.ordinary[h.part].Remove(h.place)
+	b.partial[h.part].Remove(h.place)
 	b.waiting[h.part].Remove(h.place)
 	h.place = nil
 }
--- /dev/null
+++ b/internal/node/admission/handler.go
@@ -0,0 +1,101 @@
+package admission
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"filbertturn.example/filbertturn/internal/limit/budget"
+)
+
+type connKey struct{}
+
+// WithConn returns a context with which Handler finds the connection of a request. It has the form of the field
+// ConnContext of http.Server.
+func WithConn(ctx context.Context, raw net.Conn) context.Context {
+	for {
+		switch c := raw.(type) {
+		case *Conn:
+			return context.WithValue(ctx, connKey{}, c)
+		case interface{ NetConn() net.Conn }:
+			raw = c.NetConn()
+		default:
+			return ctx
+		}
+	}
+}
+
+// Handler returns a handler that passes on the requests for which there is room. Bodies of callers are limited.
+func (g *Gate) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		rec := &recorder{ResponseWriter: w}
+		defer func() {
+			c.endRequest(rec.isUseful())
+			if r.ContentLength != 0 {
+				// Fails for writers without deadlines; those of http.Server have them.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+			}
+		}()
+		if !c.beginRequest(bodyCost(r.ContentLength)) {
+			g.report(c, MemoryUsedUp)
+			refuse(rec, http.StatusServiceUnavailable)
+			return
+		}
+		if limit := g.clients().MaxBody; limit > 0 && (c.part == budget.Callers || c.part == budget.Beside) {
+			if r.ContentLength > limit {
+				g.report(c, BodyTooLarge)
+				refuse(rec, http.StatusRequestEntityTooLarge)
+				return
+			}
+			if r.ContentLength < 0 {
+				r.Body = http.MaxBytesReader(rec, r.Body, limit)
+			}
+		}
+		h.ServeHTTP(rec, r)
+	})
+}
+
+// bodyCost returns what is kept of a body, whose length is -1 if it is not known.
+func bodyCost(length int64) int64 {
+	if length < 0 {
+		length = keptBody
+	}
+	return min(length, keptBody) * bodyFactor
+}
+
+// refuse refuses a request, which has not run, and ends its connection.
+func refuse(w http.ResponseWriter, status int) {
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Length", "0")
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+}
+
+// recorder records the status of a response.
+type recorder struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	r.status = status
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap is for http.ResponseController.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// isUseful reports whether the request is one that an ordinary caller sends: it was not refused for what it is.
+func (r *recorder) isUseful() bool {
+	return r.status < http.StatusBadRequest || r.status == http.StatusTooManyRequests || r.status >= http.StatusInternalServerError
+}
--- a/internal/node/drain/conn.go
+++ b/internal/node/drain/conn.go
@@ -1,15 +1,26 @@
 package drain
 
 import (
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// tcpConn is a connection of TCP, or one that is built on it.
+type tcpConn interface {
+	net.Conn
+	syscall.Conn
+	io.ReaderFrom
+	CloseWrite() error
+	SetLinger(sec int) error
+}
+
 // conn is a connection that stops reading, while the server is drained, unless a part of a request was
 // read.
 type conn struct {
-	*net.TCPConn
+	tcpConn
 	server *Server
 
 	mu       sync.Mutex // Guards the fields below.
@@ -18,9 +29,12 @@
 	deadline time.Time // Of reads, as the server has set it.
 }
 
+// NetConn returns the connection that was accepted.
+func (c *conn) NetConn() net.Conn { return c.tcpConn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.tcpConn.Read(p)
 	if n > 0 {
 		c.beginRequest()
 	}
@@ -35,13 +49,13 @@
 	if c.draining && c.quiet {
 		return nil
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.tcpConn.SetReadDeadline(t)
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.server.remove(c)
-	return c.TCPConn.Close()
+	return c.tcpConn.Close()
 }
 
 // beginRequest lets the rest of a request be read.
@@ -49,13 +63,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.quiet && c.draining {
-		_ = c.TCPConn.SetReadDeadline(c.deadline)
+		_ = c.tcpConn.SetReadDeadline(c.deadline)
 	}
 	c.quiet = false
 }
 
 // expectRequest is called after a response.
 func (c *conn) expectRequest() {
+	if i, ok := c.tcpConn.(interface{ Idle() }); ok {
+		i.Idle()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.quiet = true
@@ -74,6 +91,6 @@
 // c.mu must be held.
 func (c *conn) endIfQuiet() {
 	if c.draining && c.quiet {
-		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.tcpConn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/node/drain/drain.go
+++ b/internal/node/drain/drain.go
@@ -25,8 +25,9 @@
 	draining bool
 }
 
-// Serve serves connections of l until the server is drained or closed. It may be called once.
-func (s *Server) Serve(l *net.TCPListener) error {
+// Serve serves connections of TCP that l accepts until the server is drained or closed. Those with a method Idle are told
+// when the next request is awaited. It may be called once.
+func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
 	if s.draining {
@@ -83,17 +84,22 @@
 
 // listener accepts connections for a server.
 type listener struct {
-	*net.TCPListener
+	net.Listener
 	server *Server
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.AcceptTCP()
+	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{TCPConn: raw, server: l.server, quiet: true}
+	tcp, ok := raw.(tcpConn)
+	if !ok {
+		_ = raw.Close()
+		return nil, errors.ErrUnsupported
+	}
+	c := &conn{tcpConn: tcp, server: l.server, quiet: true}
 	l.server.add(c)
 	return c, nil
 }
--- a/internal/peer/frame/frame.go
+++ b/internal/peer/frame/frame.go
@@ -4,9 +4,11 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
@@ -29,6 +31,9 @@
 	return fmt.Sprintf("frame of %d bytes exceeds the limit of %d bytes", e.Size, MaxSize)
 }
 
+// ErrNoRoom is the error of a frame that was not admitted.
+var ErrNoRoom = errors.New("no room for a frame")
+
 // FormatError reports a frame that could not be encoded or decoded.
 type FormatError struct {
 	Err error
@@ -50,6 +55,11 @@
 	stream io.ReadWriter
 	out    []byte // Reused by Write.
 	in     []byte // Reused by Read.
+
+	// Admit, if not nil, is asked by Read before it allocates for further bytes of frames, and then for further
+	// fields of them. It must be set before Read is called.
+	Admit    func(size, fields int) bool
+	admitted int // Fields of the frame with most of them so far.
 }
 
 // New returns a Conn on stream.
@@ -84,6 +94,9 @@
 		return nil, &SizeError{Size: size}
 	}
 	if cap(c.in) < size {
+		if c.Admit != nil && !c.Admit(size-cap(c.in), 0) {
+			return nil, ErrNoRoom
+		}
 		c.in = make([]byte, size)
 	}
 	buf := c.in[:size]
@@ -93,9 +106,55 @@
 		}
 		return nil, err
 	}
+	if c.Admit != nil && !c.admitFields(buf) {
+		return nil, ErrNoRoom
+	}
 	f := new(peerpb.Frame)
 	if err := proto.Unmarshal(buf, f); err != nil {
 		return nil, &FormatError{Err: err}
 	}
 	return f, nil
 }
+
+// admitFields asks for the fields of a frame that are more than those of all frames before.
+func (c *Conn) admitFields(buf []byte) bool {
+	n := countFields(buf, fieldDepth)
+	if n <= c.admitted {
+		return true
+	}
+	if !c.Admit(0, n-c.admitted) {
+		return false
+	}
+	c.admitted = n
+	return true
+}
+
+// fieldDepth is that of the messages in the body of a frame, such as the header fields of a request.
+const fieldDepth = 2
+
+// countFields counts the fields of a message, and of messages in it down to a depth. What is no message counts up to
+// where that shows.
+func countFields(buf []byte, depth int) int {
+	n := 0
+	for len(buf) > 0 {
+		_, kind, size := protowire.ConsumeTag(buf)
+		if size < 0 {
+			return n
+		}
+		buf = buf[size:]
+		size = protowire.ConsumeFieldValue(1, kind, buf)
+		if kind == protowire.BytesType {
+			var text []byte
+			text, size = protowire.ConsumeBytes(buf)
+			if depth > 1 {
+				n += countFields(text, depth-1)
+			}
+		}
+		if size < 0 {
+			return n
+		}
+		buf = buf[size:]
+		n++
+	}
+	return n
+}
--- a/internal/peer/link/incoming.go
+++ b/internal/peer/link/incoming.go
@@ -31,7 +31,9 @@
 // incomingSession is a session that a peer opened.
 type incomingSession struct {
 	opened   time.Time
+	conn     net.Conn
 	watch    *closeWatch
+	served   atomic.Bool  // A request or a question was valid.
 	requests atomic.Int32 // Requests that are served.
 	controls atomic.Int32 // Streams of questions.
 
@@ -175,7 +177,7 @@
 		_ = conn.Close()
 		return
 	}
-	in := &incomingSession{opened: time.Now(), watch: watch}
+	in := &incomingSession{opened: time.Now(), conn: conn, watch: watch}
 	accepted, draining := m.addIncoming(s, in)
 	if !accepted {
 		_ = s.Close()
@@ -254,40 +256,59 @@
 	s := &Stream{Conn: frame.New(raw), raw: raw, peerClosed: in.watch.closed(raw.StreamID()), faults: m.Faults}
 	defer func() { _ = s.Close() }()
 	defer in.watch.forget(raw.StreamID())
+	room, ok := m.budget().OpenStream(streamBytes)
+	if !ok {
+		refuseStream(s, in)
+		return
+	}
+	defer room.Close()
+	s.Admit = admit(room)
 	defer m.Faults.Recover("", func(f *failure.Failure) {
 		_ = s.Write(&peerpb.Frame{Body: &peerpb.Frame_Failure{Failure: &peerpb.Failure{Kind: uint32(f.Kind)}}})
 	})
 	first, err := s.Read()
 	if err != nil {
+		if isNoRoom(err) {
+			refuseStream(s, in)
+		}
 		return
 	}
 	switch body := first.GetBody().(type) {
 	case *peerpb.Frame_Request:
 		in.requests.Add(1)
 		defer in.requests.Add(-1)
+		in.served.Store(true)
+		defer use(in.conn)()
 		m.handler.Serve(m.ctx, body.Request, s)
 	case *peerpb.Frame_Question:
 		in.controls.Add(1)
 		defer in.controls.Add(-1)
-		m.answerQuestions(s, body.Question)
+		in.served.Store(true)
+		m.answerQuestions(s, in.conn, body.Question)
 	}
 }
 
 // answer returns the reply to a question.
 func (m *Mesh) answer(q *peerpb.Question) (payload []byte, err error) {
 	defer m.Faults.Recover("", func(f *failure.Failure) { payload, err = nil, f })
+	room, ok := m.budget().OpenStream(int64(len(q.GetPayload())) * questionFactor)
+	if !ok {
+		return nil, frame.ErrNoRoom
+	}
+	defer room.Close()
 	return m.handler.Answer(m.ctx, q.GetKind(), q.GetPayload())
 }
 
 // answerQuestions answers q and the questions that follow it on a control stream, up to
 // maxQuestions concurrently, until the stream ends.
-func (m *Mesh) answerQuestions(s *Stream, q *peerpb.Question) {
+func (m *Mesh) answerQuestions(s *Stream, conn net.Conn, q *peerpb.Question) {
 	var write sync.Mutex
 	tokens := make(chan struct{}, maxQuestions)
 	for {
 		tokens <- struct{}{}
 		go func(q *peerpb.Question) {
 			defer func() { <-tokens }()
+			defer use(conn)()
 			payload, err := m.answer(q)
 			reply := &peerpb.Reply{Id: q.GetId(), Payload: payload}
 			if err != nil {
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -64,6 +64,9 @@
 	// used; nil records none.
 	Faults *fault.Recorder
 
+	// Budget bounds what streams of peers take; nil for no bounds. It must be set before the mesh is used.
+	Budget Budget
+
 	// OnSessionLost, if not nil, is called when a session that this node opened was ended by the
 	// peer or the network. It may block. It must be set before the mesh is used.
 	OnSessionLost func(to netip.AddrPort)
