Bound what nodes send on streams and nobody reads

A peer could fill the window of each of its streams, 256 KB, and open any number of them, since the port for nodes has no TLS on the platform. The owner and the entry that it reached would run out of memory, with all requests of their callers.

The headers of frames of the multiplexer that arrive are counted for each stream, and what is not read draws from the budget in steps of 64 KB until the stream has ended on both sides. A session without memory ends; others go on.

--- a/internal/node/admission/gate.go
+++ b/internal/node/admission/gate.go
@@ -160,13 +160,19 @@
 	}
 }
 
-// report counts a refusal, and logs it unless there was a line shortly before.
-func (g *Gate) report(c *Conn, r Reason) {
+// report reports the refusal of a connection, or of what was sent on it.
+func (g *Gate) report(c *Conn, r Reason) { g.reportOf(c.part, c.RemoteAddr().String(), r) }
+
+// reportNode reports the refusal of what another node sent on a stream. The log of that node names the request.
+func (g *Gate) reportNode() { g.reportOf(budget.Nodes, "", MemoryUsedUp) }
+
+// reportOf counts a refusal, and logs it unless there was a line shortly before.
+func (g *Gate) reportOf(p budget.Part, address string, r Reason) {
 	if g.Count != nil {
-		g.Count(fmt.Sprintf("%s{part=%q,reason=%q}", Counter, c.part, r))
+		g.Count(fmt.Sprintf("%s{part=%q,reason=%q}", Counter, p, r))
 	}
 	if n, ok := g.mayLog(time.Now()); ok {
-		g.Log.Warn().Stringer("Address", c.RemoteAddr()).Stringer("Part", c.part).Str("Reason", string(r)).Int("Suppressed", n).
+		g.Log.Warn().Str("Address", address).Stringer("Part", p).Str("Reason", string(r)).Int("Suppressed", n).
 			Msg("connection or request refused by the limits for clients")
 	}
 }
@@ -194,6 +200,9 @@
 // OpenStream implements link.Budget.
 func (g *Gate) OpenStream(bytes int64) (link.Holding, bool) {
 	id := g.claim(budget.Claim{Part: budget.Nodes, Amount: budget.Amount{Bytes: bytes}, Useful: true, Busy: true}, nil)
+	if id == 0 {
+		g.reportNode()
+	}
 	return holding{g, id}, id != 0
 }
 
@@ -204,7 +213,18 @@
 }
 
 // Draw implements link.Holding.
-func (h holding) Draw(bytes int64) bool { return h.gate.draw(h.id, bytes) }
+func (h holding) Draw(bytes int64) bool {
+	ok := h.gate.draw(h.id, bytes)
+	if !ok {
+		h.gate.reportNode()
+	}
+	return ok
+}
+
+// Return implements link.Holding.
+func (h holding) Return(bytes int64) {
+	h.gate.locked(func(b *budget.Budget) { b.Return(h.id, bytes) })
+}
 
 // Close implements link.Holding.
 func (h holding) Close() { h.gate.remove(h.id) }
--- a/internal/peer/link/budget.go
+++ b/internal/peer/link/budget.go
@@ -27,6 +27,7 @@
 type Holding interface {
 	// Draw adds memory, or reports that there is none.
 	Draw(bytes int64) bool
+	Return(bytes int64)
 	Close()
 }
 
@@ -41,6 +42,7 @@
 
 func (unbounded) OpenStream(int64) (Holding, bool) { return unbounded{}, true }
 func (unbounded) Draw(int64) bool                  { return true }
+func (unbounded) Return(int64)                     {}
 func (unbounded) Close()                           {}
 
 func (m *Mesh) budget() Budget {
--- a/internal/peer/link/headers.go
+++ b/internal/peer/link/headers.go
@@ -20,6 +20,8 @@
 	header  [muxHeaderSize]byte
 	have    int    // Bytes of header.
 	payload uint32 // Bytes of the frame that are yet to come.
+
+	data func(id, size uint32) // Called with the size of each frame of data, unless nil.
 }
 
 // scan calls note with the flags of each frame of a stream whose header ends in p.
@@ -45,5 +47,8 @@
 		if flags := binary.BigEndian.Uint16(s.header[2:]); kind <= muxTypeWindow && flags != 0 {
 			note(binary.BigEndian.Uint32(s.header[4:]), flags)
 		}
+		if s.payload > 0 && s.data != nil {
+			s.data(binary.BigEndian.Uint32(s.header[4:]), s.payload)
+		}
 	}
 }
--- a/internal/peer/link/incoming.go
+++ b/internal/peer/link/incoming.go
@@ -33,6 +33,7 @@
 	opened   time.Time
 	conn     net.Conn
 	watch    *closeWatch
+	unread   *unreadWatch
 	served   atomic.Bool  // A request or a question was valid.
 	requests atomic.Int32 // Requests that are served.
 	controls atomic.Int32 // Streams of questions.
@@ -171,13 +172,20 @@
 		_ = conn.Close()
 		return
 	}
-	watch := newCloseWatch(secure)
+	room, ok := m.budget().OpenStream(0)
+	if !ok {
+		_ = conn.Close()
+		return
+	}
+	defer room.Close()
+	unread := newUnreadWatch(secure, room)
+	watch := newCloseWatch(unread)
 	s, err := yamux.Server(watch, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	in := &incomingSession{opened: time.Now(), conn: conn, watch: watch}
+	in := &incomingSession{opened: time.Now(), conn: conn, watch: watch, unread: unread}
 	accepted, draining := m.addIncoming(s, in)
 	if !accepted {
 		_ = s.Close()
@@ -253,9 +261,10 @@
 
 // serveStream serves a stream according to its first frame.
 func (m *Mesh) serveStream(raw *yamux.Stream, in *incomingSession) {
-	s := &Stream{Conn: frame.New(raw), raw: raw, peerClosed: in.watch.closed(raw.StreamID()), faults: m.Faults}
+	s := &Stream{Conn: frame.New(in.unread.stream(raw)), raw: raw, peerClosed: in.watch.closed(raw.StreamID()), faults: m.Faults}
 	defer func() { _ = s.Close() }()
 	defer in.watch.forget(raw.StreamID())
+	defer in.unread.end(raw.StreamID())
 	room, ok := m.budget().OpenStream(streamBytes)
 	if !ok {
 		refuseStream(s, in)
