Let retries pay for the calls that they make

Callers' retries and hedges broke the bound of the second service: 495 arrivals beyond the first in 10 s where 489 are allowed.

The owner attributes calls to routes and tells the entry what a run calls on average, over three levels. A retry gets the budget for its arrival and for these calls, all or none, or is not sent. What calls exceed the payment is charged to the share and then to the pool, and what is left goes back. Releases without costs are charged as their calls come.

Without calls the same retries are granted as before, each one.

--- a/internal/backend/scheduler/call.go
+++ b/internal/backend/scheduler/call.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"filbertturn.example/filbertturn/internal/backend/callorigin"
+	"filbertturn.example/filbertturn/internal/request/callcost"
 )
 
 // callErrorWindow is the time for which a failed call can explain an error response of the
@@ -38,11 +41,6 @@
 // own requests.
 type Call struct {
 	Steps int // Calls already answered for the same parent request.
-
-	// RetryProbability is the probability, 0 to 1, that the parent request is a
-	// retry, whose calls count as retries too. It is the fraction of retries among the
-	// running requests.
-	RetryProbability float64
 }
 
 // CallStarted records the start of a call by the backend server. The returned Call
@@ -50,13 +48,29 @@
 func (s *Scheduler) CallStarted(now time.Time) Call {
 	s.advanceActiveTime(now)
 	s.callsInFlight++
-	retries := 0
-	for _, r := range s.running {
-		if r.request.Retry {
-			retries++
-		}
-	}
-	return Call{Steps: s.calls.CallStarted(now), RetryProbability: float64(retries) / float64(max(len(s.running), 1))}
+	return Call{Steps: s.calls.CallStarted(now)}
+}
+
+// runStarted records the start of a run, to which calls may be attributed.
+func (s *Scheduler) runStarted(now time.Time, t Request) {
+	t.Account.Route = t.Route
+	s.origins.RunStarted(now, t.ID, t.Account)
+}
+
+// CallOrigin attributes a call that starts to the running requests. costs are those of a run of the
+// called route.
+func (s *Scheduler) CallOrigin(now time.Time, service, route string, costs callcost.Costs) callorigin.Origin {
+	return s.origins.CallStarted(now, service, route, costs)
+}
+
+// TakeUnusedCalls returns the calls to each service that retries have paid for and will not make, and
+// forgets them.
+func (s *Scheduler) TakeUnusedCalls() map[string]float64 { return s.origins.TakeUnused() }
+
+// Calls returns the calls that a run of a route makes on average, and the number of runs that
+// this rests on.
+func (s *Scheduler) Calls(route string) (list []callorigin.Calls, runs float64) {
+	return s.origins.Calls(route)
 }
 
 // CallEnded records the end of a call that CallStarted returned.
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/backend/callchain"
+	"filbertturn.example/filbertturn/internal/backend/callorigin"
 	"filbertturn.example/filbertturn/internal/backend/overload"
 	"filbertturn.example/filbertturn/internal/backend/ratelimit"
 	"filbertturn.example/filbertturn/internal/backend/waittime"
@@ -71,7 +72,8 @@
 	Nested        bool
 	Steps         int // For a nested request, the calls already answered for the same parent request.
 	Idempotent    bool
-	Retry         bool // A retry or hedge: another backend server may have received it before.
+	Retry         bool           // A retry or hedge: another backend server may have received it before.
+	Account       callorigin.Run // How its calls count in the retry budgets; its route is ignored.
 	Level         order.Level
 	Deadline      time.Time     // Time from which a response is useless.
 	Due           time.Time     // Time at which the objective ends.
@@ -156,11 +158,12 @@
 	failedTrials   int         // Consecutive failed trials.
 	failedCalls    []time.Time // Times of failed calls that have not yet explained the error of a request.
 	shedder        overload.Shedder
-	calls          callchain.Tracker // Correlates the calls of the backend server.
-	limiter        ratelimit.Limiter // Paces the starts of requests by the limit that the backend server names.
-	cold           ratelimit.Limiter // Paces them during its cold start.
-	coldUntil      time.Time         // End of the cold start.
-	stop           stop              // Set once the node stops.
+	calls          callchain.Tracker  // Correlates the calls of the backend server.
+	origins        callorigin.Tracker // Attributes them to the running requests.
+	limiter        ratelimit.Limiter  // Paces the starts of requests by the limit that the backend server names.
+	cold           ratelimit.Limiter  // Paces them during its cold start.
+	coldUntil      time.Time          // End of the cold start.
+	stop           stop               // Set once the node stops.
 }
 
 // Open accepts requests for the given number of slots, at least one, and starts those
@@ -320,6 +323,7 @@
 	s.limiter.Take(now)
 	s.cold.Take(now)
 	s.running[t.ID] = &runningRequest{request: t, started: now, activeAtStart: s.advanceActiveTime(now), trial: trial}
+	s.runStarted(now, t)
 	if trial {
 		s.nextTrial = now.Add(min(initialTrialInterval<<min(s.failedTrials, 8), maxTrialInterval))
 	}
@@ -340,6 +344,7 @@
 	}
 	s.observeAges(now)
 	delete(s.running, id)
+	s.origins.RunEnded(now, id)
 	switch o {
 	case Answered:
 		s.suspicion.ObserveSuccess(now, r.started, s.relativeAge(r, s.observedActive))
--- a/internal/node/dispatcher/attempt.go
+++ b/internal/node/dispatcher/attempt.go
@@ -7,6 +7,7 @@
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/health/blame"
+	"filbertturn.example/filbertturn/internal/request/callcost"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
 )
@@ -36,7 +37,7 @@
 // the request is idempotent and has no body, and the route's attempts and the retry budget
 // allow it. It returns the better outcome and cancels the other attempt.
 func (s *sender) attempt() outcome {
-	first := s.startAttempt()
+	first := s.startAttempt(s.paid)
 	o := &s.request.Order
 	if !o.Idempotent || s.request.Body != nil || o.Trial || s.attemptCount() >= s.request.Attempts-1 {
 		return <-first.result
@@ -45,19 +46,24 @@
 	defer ticker.Stop()
 	// Checks again at each tick: a request still in a queue has not been sent, and the
 	// budget may allow later what it denies now.
+	var paid callcost.Costs
 	for waiting := true; waiting; {
 		select {
 		case end := <-first.result:
 			return end
 		case <-ticker.C:
-			waiting = s.attemptCount() == 0 || s.dispatcher.verdict(o.Fingerprint) != blame.Clear || !s.dispatcher.RetryBudget.Allow(s.ctx, o.Service)
+			if s.attemptCount() == 0 || s.dispatcher.verdict(o.Fingerprint) != blame.Clear {
+				continue
+			}
+			var allowed bool
+			paid, allowed = s.payRetry("hedge", outcome{})
+			waiting = !allowed
 		}
 	}
-	s.logRetry("hedge", outcome{}, true)
 	for _, to := range s.contactedNodes() {
 		s.dispatcher.recordOverdue(to)
 	}
-	second := s.startAttempt()
+	second := s.startAttempt(paid)
 	select {
 	case end := <-first.result:
 		return better(end, second)
@@ -112,8 +118,9 @@
 	}
 }
 
-// startAttempt starts an attempt in a goroutine of its own.
-func (s *sender) startAttempt() attempt {
+// startAttempt starts an attempt in a goroutine of its own. paid are the calls of its run that the
+// retry budgets have paid for.
+func (s *sender) startAttempt(paid callcost.Costs) attempt {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	result := make(chan outcome, 1)
 	go func() {
@@ -121,7 +128,7 @@
 			s.recordEnding(s.dispatcher.Log.Info().Str("RequestID", s.request.Order.ID).Str("Kind", f.Kind.String()).Err(f.Err), f).Msg("attempt failed")
 			result <- outcome{err: f, cancel: cancel}
 		})
-		response, err := s.offerUntilServing(ctx)
+		response, err := s.offerUntilServing(ctx, paid)
 		o := outcome{response: response, cancel: cancel}
 		if err != nil {
 			o.err = failure.From(err)
--- a/internal/node/dispatcher/dispatcher.go
+++ b/internal/node/dispatcher/dispatcher.go
@@ -17,11 +17,13 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/callorigin"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/peer/transport"
+	"filbertturn.example/filbertturn/internal/request/callcost"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/fault"
 	"filbertturn.example/filbertturn/internal/request/fingerprint"
@@ -29,17 +31,19 @@
 	"filbertturn.example/filbertturn/internal/request/latency"
 	"filbertturn.example/filbertturn/internal/request/order"
 	"filbertturn.example/filbertturn/internal/request/replay"
+	"filbertturn.example/filbertturn/internal/request/retrylimit"
 	"filbertturn.example/filbertturn/internal/route/outage"
 	"filbertturn.example/filbertturn/internal/route/ranking"
 )
 
 // RetryBudget is the retry budget of each service.
 type RetryBudget interface {
-	// RecordFirstAttempt counts the first attempt at a request. retryProbability is the
-	// probability, from 0 to 1, that the request is a nested call made by a retry.
-	RecordFirstAttempt(service string, retryProbability float64)
-	// Allow reports whether a retry is within the budget, and counts it if so.
-	Allow(ctx context.Context, service string) bool
+	// RecordFirstAttempt counts the first attempt at a request, and the part of it that counts as a
+	// call made by a retry.
+	RecordFirstAttempt(service string, o callorigin.Origin)
+	// Allow reports whether a retry and the calls that it makes are within the budgets of their
+	// services, and counts them if so. If not, it returns the service whose budget denies its part.
+	Allow(ctx context.Context, r retrylimit.Retry) (denied string, ok bool)
 }
 
 // Quarantine decides which requests may crash backend servers.
@@ -80,23 +84,26 @@
 	ranking ranking.Ranking
 	outages map[string]*outage.Outage // Outages of whole services, by service.
 	runs    map[runKey]*latency.Estimator
+
+	costsMu sync.Mutex     // Guards costs.
+	costs   callcost.Table // Of runs, as their owners say.
 }
 
 // Request is a request with the retry policy of its route.
 type Request struct {
-	Order            order.Order
-	Body             *replay.Body // Nil if there is none.
-	Received         time.Time    // When the node began to read it.
-	Attempts         int          // Most backend servers that it is sent to.
-	RetryProbability float64      // Probability, from 0 to 1, that it is a nested call made by a retry.
+	Order    order.Order
+	Body     *replay.Body      // Nil if there is none.
+	Received time.Time         // When the node began to read it.
+	Attempts int               // Most backend servers that it is sent to.
+	Origin   callorigin.Origin // Of a nested call.
 }
 
 // Forward sends r to backend servers until one answers, or until a further attempt
 // is not allowed or would not help. Errors are of type *failure.Failure. The caller
 // closes the response's body.
 func (d *Dispatcher) Forward(ctx context.Context, r *Request) (*exchange.Response, error) {
-	d.RetryBudget.RecordFirstAttempt(r.Order.Service, r.RetryProbability)
-	s := &sender{dispatcher: d, request: r, received: time.Now()}
+	d.RetryBudget.RecordFirstAttempt(r.Order.Service, r.Origin)
+	s := &sender{dispatcher: d, request: r, received: time.Now(), paid: r.Origin.Paid}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	d.stopper.add(s)
 	defer d.stopper.remove(s)
@@ -255,11 +262,12 @@
 		return r
 	}
 	sent := false
-	response, err := d.Local.Run(ctx, o, func(transport.Verdict) {}, func() (io.Reader, error) {
+	var verdict transport.Verdict
+	response, err := d.Local.Run(ctx, o, func(v transport.Verdict) { verdict = v }, func() (io.Reader, error) {
 		r, err := body()
 		sent = err == nil
 		return r, err
 	})
 	load := d.Local.Load(time.Now())
-	return transport.OfferResult{Response: response, Err: err, Sent: sent, Load: &load}
+	return transport.OfferResult{Response: response, Err: err, Sent: sent, Load: &load, CallCosts: verdict.CallCosts, CallCostRuns: verdict.CallCostRuns}
 }
--- a/internal/node/dispatcher/sender.go
+++ b/internal/node/dispatcher/sender.go
@@ -18,6 +18,7 @@
 	"filbertturn.example/filbertturn/internal/clock/timer"
 	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/peer/transport"
+	"filbertturn.example/filbertturn/internal/request/callcost"
 	"filbertturn.example/filbertturn/internal/request/ending"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -74,11 +75,13 @@
 	cancel     context.CancelCauseFunc // Ends the request before it has begun.
 	refusal    *time.Timer             // Guarded by stopper.mu.
 	received   time.Time
-	tries      int // Attempts so far, including those that did not run.
+	tries      int            // Attempts so far, including those that did not run.
+	paid       callcost.Costs // Calls that the next attempt has paid for.
 
 	mu                 sync.Mutex
 	contacted          []netip.AddrPort // Nodes whose backend server the request was sent to.
 	attempts           int              // Backend servers that may have run the request.
+	arrivals           int              // Backend servers that may have received it, those included that rejected it.
 	stopping           bool             // It was refused because the node stops.
 	latestStart        time.Time        // Until when it may begin; zero while the node goes on.
 	shortestRetryAfter time.Duration    // Least retry delay that a refusal named; zero if none did.
@@ -201,20 +204,16 @@
 	if !retryable {
 		return false
 	}
-	allowed := o.err != nil && o.err.Kind == kind.UnreachableBackendServer || s.dispatcher.RetryBudget.Allow(s.ctx, s.request.Order.Service)
-	s.logRetry("repeat", o, allowed)
-	return allowed
-}
-
-func (s *sender) logRetry(decision string, o outcome, allowed bool) {
-	e := s.dispatcher.Log.Info().Str("RequestID", s.request.Order.ID).Str("Decision", decision).
-		Int("Attempts", s.attemptCount()).Bool("Allowed", allowed)
-	if o.err != nil {
-		e = e.Str("Kind", o.err.Kind.String())
-	} else if o.response != nil {
-		e = e.Int("Status", o.response.Status)
+	if o.err != nil && o.err.Kind == kind.UnreachableBackendServer {
+		// The request has not arrived, so that the next attempt is what was paid for.
+		s.logRetry("repeat", o, "", true)
+		return true
+	}
+	paid, allowed := s.payRetry("repeat", o)
+	if allowed {
+		s.paid = paid
 	}
-	e.Msg("another attempt")
+	return allowed
 }
 
 func (s *sender) replayable() bool {
@@ -230,9 +229,9 @@
 // offerUntilServing makes offers until a node accepts the request. While the service has
 // no backend server in service, it starts over every serviceWaitInterval, for a limited
 // time.
-func (s *sender) offerUntilServing(ctx context.Context) (*exchange.Response, error) {
+func (s *sender) offerUntilServing(ctx context.Context, paid callcost.Costs) (*exchange.Response, error) {
 	for {
-		response, err := s.offerAll(ctx)
+		response, err := s.offerAll(ctx, paid)
 		var none *noBackendServerError
 		if !errors.As(err, &none) || len(s.contactedNodes()) > 0 {
 			return response, err
@@ -247,7 +246,7 @@
 
 // offerAll offers the request to nodes, stage by stage, until one accepts it: first to
 // nodes that can start it at once.
-func (s *sender) offerAll(ctx context.Context) (*exchange.Response, error) {
+func (s *sender) offerAll(ctx context.Context, paid callcost.Costs) (*exchange.Response, error) {
 	plan := stages
 	if isLarge(&s.request.Order) {
 		plan = largeBodyStages
@@ -270,7 +269,7 @@
 				break
 			}
 			asked[st.level] = append(asked[st.level], to)
-			reply := s.offer(ctx, to, st.level)
+			reply := s.offer(ctx, to, st.level, paid)
 			if reply.Err == nil {
 				return s.bufferResponse(ctx, to, reply.Response)
 			}
@@ -313,12 +312,13 @@
 }
 
 // offer makes one offer to a node and records the reply.
-func (s *sender) offer(ctx context.Context, to netip.AddrPort, level order.Level) (reply transport.OfferResult) {
+func (s *sender) offer(ctx context.Context, to netip.AddrPort, level order.Level, paid callcost.Costs) (reply transport.OfferResult) {
 	// Deferred, as to counts as busy with the request until then.
 	defer func() { s.dispatcher.recordReply(s.request.Order.Service, to, reply) }()
 	o := s.request.Order
 	o.Header = o.Header.Clone()
 	o.Level, o.Retry, o.QueueDeadline = level, len(s.contactedNodes()) > 0, s.queueDeadline()
+	o.RetryProbability, o.PaidCalls = s.retryProbability(), paid
 	var began time.Time
 	reply = s.dispatcher.offer(ctx, to, &o, func() (io.Reader, error) {
 		if err := s.begin(); err != nil {
@@ -330,6 +330,7 @@
 		s.mu.Unlock()
 		return s.openBody()
 	})
+	s.recordArrival(reply)
 	if reply.Err == nil && reply.Response.Status < http.StatusInternalServerError {
 		s.dispatcher.recordRun(&o, time.Since(began))
 	}
--- a/internal/node/dispatcher/stop.go
+++ b/internal/node/dispatcher/stop.go
@@ -108,6 +108,7 @@
 		return failure.New(kind.StoppingNode, "", nil)
 	}
 	s.attempts++
+	s.arrivals++
 	return nil
 }
 
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/callorigin"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/incarnation"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
@@ -20,6 +21,7 @@
 	"filbertturn.example/filbertturn/internal/health/blame"
 	"filbertturn.example/filbertturn/internal/node/leftout"
 	"filbertturn.example/filbertturn/internal/peer/transport"
+	"filbertturn.example/filbertturn/internal/request/callcost"
 	"filbertturn.example/filbertturn/internal/request/dialect"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/fault"
@@ -66,6 +68,14 @@
 	// during its cold start; zero if there is no limit.
 	ColdRate func(service string) float64
 
+	// CallCosts returns what a run of a route of a service calls on average, as the node knows it
+	// as the entry of calls; nil if it knows nothing.
+	CallCosts func(service, route string) callcost.Costs
+
+	// OnUnusedCalls is called with calls to a service that retries had paid for and did not make; nil
+	// if nobody wants to know.
+	OnUnusedCalls func(service string, calls float64)
+
 	// Quarantine holds the requests that crash backend servers; nil if none is known.
 	Quarantine Quarantine
 
@@ -345,6 +355,7 @@
 	ex.deliver(ex.scheduler.Acquire(now, scheduler.Request{
 		ID: id, Route: o.Route, Priority: o.Priority, Nested: o.Nested, Steps: o.Steps, Idempotent: o.Idempotent, Retry: o.Retry,
 		Level: o.Level, Deadline: o.Deadline, Due: o.Due, QueueDeadline: o.QueueDeadline, Objective: o.Objective,
+		Account: callorigin.Run{RetryProbability: o.RetryProbability, Paid: o.PaidCalls},
 	}))
 	return id, wait
 }
@@ -404,7 +415,10 @@
 		case e := <-wait:
 			switch e := e.(type) {
 			case scheduler.Start:
-				verdict(transport.Verdict{Decision: transport.Accepted, Load: ex.Load(time.Now()), Stamp: ex.Stamp(time.Now())})
+				costs, runs := ex.callCosts(o.Route)
+				verdict(transport.Verdict{
+					Decision: transport.Accepted, Load: ex.Load(time.Now()), Stamp: ex.Stamp(time.Now()), CallCosts: costs, CallCostRuns: runs,
+				})
 				return nil
 			case scheduler.Wait:
 				verdict(transport.Verdict{Decision: transport.Waiting, Load: ex.Load(time.Now()), Stamp: ex.Stamp(time.Now())})
@@ -439,6 +453,12 @@
 
 // release gives back the slot or the place in the queue of a request, unless that was done before.
 func (ex *Executor) release(id uint64, o scheduler.Outcome) {
+	var unused map[string]float64
+	defer func() {
+		for service, calls := range unused {
+			ex.OnUnusedCalls(service, calls)
+		}
+	}()
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	if _, ok := ex.inFlight[id]; !ok {
@@ -449,20 +469,7 @@
 	delete(ex.orders, id)
 	delete(ex.running, id)
 	ex.deliver(ex.scheduler.Release(time.Now(), id, o))
-}
-
-// StartCall registers a nested call that the backend server makes. It returns what is
-// known of the request that the call is made for, and a function that must be called with
-// the outcome when the call ends.
-func (ex *Executor) StartCall() (scheduler.Call, func(scheduler.CallOutcome)) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	c := ex.scheduler.CallStarted(time.Now())
-	return c, func(end scheduler.CallOutcome) {
-		ex.mu.Lock()
-		defer ex.mu.Unlock()
-		now := time.Now()
-		ex.scheduler.CallEnded(now, c, end)
-		ex.scheduleTick(now)
+	if ex.OnUnusedCalls != nil {
+		unused = ex.scheduler.TakeUnusedCalls()
 	}
 }
--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertturn.example/filbertturn/internal/backend/callorigin"
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/backend/scheduler"
 	"filbertturn.example/filbertturn/internal/config/set"
@@ -120,10 +121,10 @@
 	// within maxWait.
 	Configuration func(ctx context.Context, maxWait time.Duration) *snapshot.Snapshot
 
-	// StartCall is called when the backend server beside the node makes a nested call. It
-	// returns what is known of the request that the call is made for, and a function
+	// StartCall is called when the backend server beside the node makes a nested call to a route of
+	// a service. It returns what is known of the request that the call is made for, and a function
 	// that is called with the outcome when the call ends.
-	StartCall func() (c scheduler.Call, end func(scheduler.CallOutcome))
+	StartCall func(service, route string) (c scheduler.Call, o callorigin.Origin, end func(scheduler.CallOutcome))
 }
 
 // requestState is what the filters have found out about a request.
@@ -204,8 +205,8 @@
 		return nil, cancel, err
 	}
 	if rs.request.Order.Nested {
-		c, end := i.StartCall()
-		rs.request.Order.Steps, rs.request.RetryProbability, rs.endCall = c.Steps, c.RetryProbability, end
+		c, origin, end := i.StartCall(o.Service, o.Route)
+		o.Steps, rs.request.Origin, rs.endCall = c.Steps, origin, end
 	}
 	if rs.unread {
 		watched, stop := departure.Watch(ctx)
--- a/internal/node/retrybudget/budget.go
+++ b/internal/node/retrybudget/budget.go
@@ -15,11 +15,12 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
-	"filbertturn.example/filbertturn/internal/fleet/rendezvous"
+	"filbertturn.example/filbertturn/internal/backend/callorigin"
 	"filbertturn.example/filbertturn/internal/peer/cooldown"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
-	"filbertturn.example/filbertturn/internal/peer/question"
+	"filbertturn.example/filbertturn/internal/request/callcost"
+	"filbertturn.example/filbertturn/internal/request/fault"
 	"filbertturn.example/filbertturn/internal/request/retrylimit"
 )
 
@@ -27,6 +28,18 @@
 	// grantTimeout bounds the wait for the home's answer, as a caller waits meanwhile.
 	grantTimeout = 100 * time.Millisecond
 
+	// noticeTimeout bounds messages to the home for which no caller waits.
+	noticeTimeout = time.Second
+
+	// leastSettled is the least excess of a share of which the home is told.
+	leastSettled = 1.0
+
+	// settleInterval is the least time between two messages to the home about the excess of a share.
+	settleInterval = 200 * time.Millisecond
+
+	// maxCost bounds the arrivals that one message asks for.
+	maxCost = 4 * callcost.MaxCalls
+
 	shardCount = 8 // Shards have their own locks.
 
 	// Bounds of what other nodes may ask for: the length of a service's name, in bytes, and the
@@ -45,6 +58,9 @@
 	Limits func() retrylimit.Limits
 	Log    zerolog.Logger
 
+	Faults *fault.Recorder   // Of panics; nil for none.
+	Count  func(name string) // Adds one to a counter, unless nil.
+
 	cooldown cooldown.Tracker
 	shards   [shardCount]shard
 }
@@ -55,40 +71,56 @@
 	services map[string]*serviceBudget
 }
 
-// serviceBudget is the retry serviceBudget of one service.
+// serviceBudget is the retry budget of one service.
 type serviceBudget struct {
 	share     retrylimit.Limiter // This node's share.
 	pool      retrylimit.Limiter // The pool that this node grants retries from as the home.
 	homeSince time.Time          // Time of the first grant as the home; zero if there was none.
+	settling  bool               // The home is being told of an excess of the share.
+	made      tally              // Calls of retries that came.
+	paid      tally              // Calls of retries that were paid for.
+	returned  tally              // Calls that were paid for and not made.
 }
 
-// RecordFirstAttempt counts the first attempt at a request. retryProbability is the
-// probability, from 0 to 1, that the request is a nested call made by a retry.
-func (b *Budget) RecordFirstAttempt(service string, retryProbability float64) {
+// RecordFirstAttempt counts the first attempt at a request, and the part of it that counts as a
+// call made by a retry.
+func (b *Budget) RecordFirstAttempt(service string, o callorigin.Origin) {
 	t := b.Limits()
-	b.withBudget(service, func(sb *serviceBudget) bool {
-		sb.share.RecordFirstAttempt(time.Now(), t, retryProbability)
-		return true
+	settle := false
+	b.withBudget(service, func(sb *serviceBudget) {
+		now := time.Now()
+		sb.share.RecordFirstAttempt(now, t, o.Unpaid)
+		sb.made.add(o.RetryProbability, b.Count, "retry_calls_total", service)
+		if o.Unpaid > 0 && !sb.settling && sb.share.Excess(now, t) >= leastSettled {
+			sb.settling, settle = true, true
+		}
 	})
+	if settle {
+		go b.settle(service)
+	}
 }
 
-// Allow reports whether a retry is within the service's budget, and counts it if so. It
-// uses this node's share first, and then asks the home for a grant from the pool, which
-// takes up to grantTimeout.
-func (b *Budget) Allow(ctx context.Context, service string) bool {
+// ReturnUnused takes back what retries have paid for calls to a service that the backend server beside this node
+// did not make.
+func (b *Budget) ReturnUnused(service string, calls float64) {
 	t := b.Limits()
-	allowed := b.withBudget(service, func(sb *serviceBudget) bool { return sb.share.AllowRetry(time.Now(), t) })
-	if allowed {
-		return true
+	b.withBudget(service, func(sb *serviceBudget) {
+		sb.share.Remove(time.Now(), t, calls)
+		sb.returned.add(calls, b.Count, "retry_calls_returned_total", service)
+	})
+}
+
+// Allow reports whether a retry and the calls of its run are within the budgets of their services,
+// and counts them if so. If not, it returns the service that denied its part. For each service it uses this
+// node's share first, and then asks the home for a grant from the pool, which takes up to grantTimeout for each.
+func (b *Budget) Allow(ctx context.Context, r retrylimit.Retry) (denied string, ok bool) {
+	if denied, ok = retrylimit.Buy(&purchase{Budget: b, ctx: ctx, limits: b.Limits(), homes: make(map[string]netip.AddrPort)}, r.Needs()); !ok {
+		return denied, false
 	}
-	to, ok := rendezvous.Key(service).Pick(b.Homes())
-	switch {
-	case !ok || t.Pooled <= 0:
-		return false
-	case to == b.Self:
-		return b.grant(time.Now(), service)
+	for _, c := range r.Costs {
+		b.withBudget(c.Service, func(sb *serviceBudget) { sb.paid.add(c.Calls, b.Count, "retry_calls_paid_total", c.Service) })
 	}
-	return b.requestGrant(ctx, to, service)
+	return "", true
 }
 
 // Answer handles another node's request for a retry from the pool, as the service's home.
@@ -100,52 +132,55 @@
 	if s := m.GetService(); s == "" || len(s) > maxServiceName {
 		return nil, fmt.Errorf("name of a service has %d bytes, at most %d", len(s), maxServiceName)
 	}
-	return proto.Marshal(&peerpb.RepeatGrant{Granted: b.grant(now, m.GetService())})
+	cost := costFromProto(m.GetMilliCost())
+	reply := &peerpb.RepeatGrant{Granted: true}
+	switch {
+	case m.GetReturnedSlice() != 0:
+		b.giveBack(now, m.GetService(), retrylimit.Grant{Slice: m.GetReturnedSlice(), Cost: cost})
+	case m.GetCharge():
+		reply.Slice = b.charge(now, m.GetService(), cost).Slice
+	default:
+		g, overdrawn, ok := b.grant(now, m.GetService(), cost)
+		reply.Granted, reply.Slice, reply.MilliOverdrawn = ok, g.Slice, costToProto(overdrawn)
+	}
+	return proto.Marshal(reply)
 }
 
-// grant reports whether a retry is within the pool of this node, and counts it if so.
-func (b *Budget) grant(now time.Time, service string) bool {
+// grant reports whether a retry of a cost is within the pool of this node, and counts it if so. It also returns
+// by how much the pool is overdrawn.
+func (b *Budget) grant(now time.Time, service string, cost float64) (g retrylimit.Grant, overdrawn float64, ok bool) {
+	b.withPool(now, service, func(pool *retrylimit.Limiter, limits retrylimit.Limits) {
+		g, ok = pool.AllowRetry(now, limits, cost)
+		overdrawn = pool.Overdrawn(now, limits)
+	})
+	return g, overdrawn, ok
+}
+
+// giveBack takes back a grant from the pool of this node.
+func (b *Budget) giveBack(now time.Time, service string, g retrylimit.Grant) {
+	b.withPool(now, service, func(pool *retrylimit.Limiter, limits retrylimit.Limits) { pool.GiveBack(now, limits, g) })
+}
+
+// charge counts arrivals against the pool of this node that were made without a grant.
+func (b *Budget) charge(now time.Time, service string, cost float64) (g retrylimit.Grant) {
+	b.withPool(now, service, func(pool *retrylimit.Limiter, limits retrylimit.Limits) { g = pool.Charge(now, limits, cost) })
+	return g
+}
+
+// withPool calls f with the pool of the service and its limits.
+func (b *Budget) withPool(now time.Time, service string, f func(pool *retrylimit.Limiter, limits retrylimit.Limits)) {
 	t := b.Limits()
-	return b.withBudget(service, func(sb *serviceBudget) bool {
+	b.withBudget(service, func(sb *serviceBudget) {
 		if sb.homeSince.IsZero() {
 			sb.homeSince = now
 		}
-		return sb.pool.AllowRetry(now, t.ForPool(now.Sub(sb.homeSince)))
+		f(&sb.pool, t.ForPool(now.Sub(sb.homeSince)))
 	})
 }
 
-// requestGrant asks the home for a retry from the pool. While the home does not answer, no
-// retry is granted: a second home would grant the same pool again.
-func (b *Budget) requestGrant(ctx context.Context, to netip.AddrPort, service string) bool {
-	if b.cooldown.Active(time.Now(), to) {
-		return false
-	}
-	payload, err := proto.Marshal(&peerpb.RepeatRequest{Service: service})
-	if err != nil {
-		b.Log.Error().Err(err).Msg("cannot encode the request for a retry grant")
-		return false
-	}
-	askCtx, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
-	reply, err := b.Mesh.Ask(askCtx, to, question.PooledRetry, payload)
-	if err != nil {
-		if ctx.Err() == nil {
-			b.cooldown.MarkUnresponsive(time.Now(), to)
-			b.Log.Warn().Err(err).Stringer("To", to).Str("Service", service).Msg("no answer from the home of a service's retry budget")
-		}
-		return false
-	}
-	var g peerpb.RepeatGrant
-	if err := proto.Unmarshal(reply, &g); err != nil {
-		b.Log.Warn().Err(err).Stringer("From", to).Msg("malformed retry grant")
-		return false
-	}
-	return g.GetGranted()
-}
-
 // withBudget calls f with the budget of the service while holding its shard's lock. Services beyond
 // maxServicesPerShard have no budget.
-func (b *Budget) withBudget(service string, f func(*serviceBudget) bool) bool {
+func (b *Budget) withBudget(service string, f func(*serviceBudget)) {
 	s := &b.shards[xxhash.Sum64String(service)%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,10 +190,10 @@
 	sb := s.services[service]
 	if sb == nil {
 		if len(s.services) >= maxServicesPerShard {
-			return false
+			return
 		}
 		sb = new(serviceBudget)
 		s.services[service] = sb
 	}
-	return f(sb)
+	f(sb)
 }
--- a/internal/node/sidecar/sidecar.go
+++ b/internal/node/sidecar/sidecar.go
@@ -192,11 +192,13 @@
 	c.fleetKey.Neighbours, c.fleetKey.Joined = c.discovery.Neighbours, c.discovery.Joined
 	c.guard.Homes, c.guard.Nodes = c.discovery.Homes, c.discovery.ActiveByDataCentre
 	c.syncer.Neighbours, c.syncer.Joined = c.discovery.Neighbours, c.discovery.Joined
-	c.retryBudget = &retrybudget.Budget{Self: s.PeerAddress, Mesh: c.mesh, Homes: c.discovery.Homes, Limits: c.retryLimits, Log: log}
+	c.retryBudget = &retrybudget.Budget{Self: s.PeerAddress, Mesh: c.mesh, Homes: c.discovery.Homes, Limits: c.retryLimits, Log: log,
+		Faults: c.faults, Count: c.metrics.IncrementCounter}
 	c.dispatcher = &dispatcher.Dispatcher{
 		Self: s.PeerAddress, DataCentre: s.DataCentre, Local: c.executor, Transport: &transport.Client{Mesh: c.mesh}, RetryBudget: c.retryBudget, Quarantine: c.guard, Log: log,
 		OnConfigStamp: c.syncer.ObserveStamp, Count: c.metrics.IncrementCounter, Faults: c.faults,
 	}
+	c.executor.CallCosts, c.executor.OnUnusedCalls = c.dispatcher.CallCosts, c.retryBudget.ReturnUnused
 	c.gossiper = &gossip.Gossiper{
 		Self: s.PeerAddress, DataCentre: s.DataCentre, Mesh: c.mesh, Nodes: c.discovery, Loads: c.dispatcher, Blame: c.guard,
 		Stamp: c.syncer.Stamp, OnConfigStamp: c.syncer.ObserveStamp, Log: log, LeftOut: c.leftOut,
--- a/internal/peer/transport/executor.go
+++ b/internal/peer/transport/executor.go
@@ -53,7 +53,7 @@
 		refused = v.Failure() != nil
 		verdicts.add(&peerpb.Frame{Body: &peerpb.Frame_Verdict{Verdict: &peerpb.Verdict{
 			Decision: uint32(v.Decision), RetryAfterNanos: int64(v.RetryAfter), Load: LoadToProto(v.Load),
-			Freshness: StampToProto(v.Stamp),
+			Freshness: StampToProto(v.Stamp), CallCosts: callCostsToProto(v.CallCosts), CallCostRuns: uint32(max(v.CallCostRuns, 0)),
 		}}})
 	}, func() (io.Reader, error) {
 		body, err := up.awaitConfirmation(r.ctx)
@@ -188,6 +188,9 @@
 		Level:         min(order.Level(head.GetLevel()), order.Any),
 		Fingerprint:   fingerprint.FromBytes(head.GetFingerprint()),
 		Trial:         head.GetTrial(),
+
+		RetryProbability: retryProbability(head),
+		PaidCalls:        callCostsFromProto(head.GetPaidCalls()),
 	}
 }
 
--- a/internal/peer/transport/offer.go
+++ b/internal/peer/transport/offer.go
@@ -15,6 +15,7 @@
 	"filbertturn.example/filbertturn/internal/config/freshness"
 	"filbertturn.example/filbertturn/internal/peer/link"
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
+	"filbertturn.example/filbertturn/internal/request/callcost"
 	"filbertturn.example/filbertturn/internal/request/ending"
 	"filbertturn.example/filbertturn/internal/request/failure"
 	"filbertturn.example/filbertturn/internal/request/kind"
@@ -58,6 +59,11 @@
 	RetryAfter time.Duration
 	Load       scheduler.Load
 	Stamp      freshness.Stamp // Configuration that the owner runs.
+
+	// CallCosts are what a run of the route calls on average, as the owner has seen in CallCostRuns
+	// runs, in an Accepted verdict.
+	CallCosts    callcost.Costs
+	CallCostRuns int
 }
 
 // Failure returns the failure of a refused offer, or nil if the offer is not refused.
@@ -86,6 +92,10 @@
 	Sent     bool            // The backend server may have received some of the request.
 	Load     *scheduler.Load // The last load that the owner reported; nil if it reported none.
 
+	// CallCosts and CallCostRuns are those of the verdict.
+	CallCosts    callcost.Costs
+	CallCostRuns int
+
 	// Stamp is what the owner reported of its configuration in response to the offer
 	// that was sent at AskedAt; zero if it reported nothing.
 	Stamp   freshness.Stamp
@@ -99,7 +109,7 @@
 	p := &pendingOffer{client: c, id: o.ID, repeatable: o.Idempotent}
 	p.ctx, p.cancel = context.WithCancelCause(ctx)
 	r := c.sendOffer(p, to, o, body)
-	r.AskedAt, r.Stamp = asked, p.stamp
+	r.AskedAt, r.Stamp, r.CallCosts, r.CallCostRuns = asked, p.stamp, p.callCosts, p.callCostRuns
 	return r
 }
 
@@ -159,6 +169,9 @@
 	stamp   freshness.Stamp
 	reacted bool // A verdict has arrived.
 
+	callCosts    callcost.Costs
+	callCostRuns int
+
 	repeatable bool        // It may be sent elsewhere although it may run.
 	closed     atomic.Bool // The stream is closed, or is about to be.
 
@@ -256,6 +269,8 @@
 			p.stamp = StampFromProto(body.Verdict.GetFreshness())
 			v := Verdict{Decision: Decision(body.Verdict.GetDecision()), RetryAfter: RetryAfterFromProto(body.Verdict.GetRetryAfterNanos())}
 			if v.Decision == Accepted {
+				p.callCosts = callCostsFromProto(body.Verdict.GetCallCosts())
+				p.callCostRuns = int(min(body.Verdict.GetCallCostRuns(), maxCallCostRuns))
 				return load, nil
 			}
 			if err := v.Failure(); err != nil {
@@ -414,6 +429,8 @@
 		PatienceNanos:  int64(time.Until(o.QueueDeadline)),
 		Fingerprint:    o.Fingerprint[:],
 		Trial:          o.Trial,
+		PaidCalls:      callCostsToProto(o.PaidCalls),
+		RetryPermille:  retryPermille(o.RetryProbability, o.Retry),
 	}
 }
 
--- a/internal/request/order/order.go
+++ b/internal/request/order/order.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"filbertturn.example/filbertturn/internal/request/callcost"
 	"filbertturn.example/filbertturn/internal/request/fingerprint"
 )
 
@@ -60,6 +61,11 @@
 	Retry         bool // A retry or hedge: another backend server may have received it before.
 	Level         Level
 
+	// RetryProbability is the probability that the run counts as a retry in the retry budget,
+	// because a backend server has received the request before, or as a call of a retry.
+	RetryProbability float64
+	PaidCalls        callcost.Costs // Calls of the run that the retry budgets have paid for.
+
 	// Fingerprint identifies the request if it comes again. It is zero while the body has
 	// not been read to its end.
 	Fingerprint fingerprint.Fingerprint
