Remove lapsed places from a line before claims, too

Requests that waited behind the places of an entry that had ended, or of callers that had left, were refused although the bucket was full, if no new request of the customer came meanwhile. Lapsed places were removed only when a new request asked.

--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -98,6 +98,10 @@
 
 // Decide grants a request a token, gives it a place, or refuses it. The number is that of the place, if it gets one.
 func (l *Line) Decide(now time.Time, s Supply, a Ask, number uint64) Decision {
+	// Also before claims, as no new request may come while others wait behind places that have lapsed.
+	if now.Sub(l.swept) > minRepeat {
+		l.Sweep(now)
+	}
 	if i := l.find(a.Place); i >= 0 {
 		if d, ok := l.claim(now, s, i); ok {
 			return d
@@ -174,9 +178,6 @@
 // admits reports whether a new request gets a token at once: one that no waiting request is about to claim, or, if it
 // cannot wait, one for each that those which can wait get.
 func (l *Line) admits(now time.Time, s Supply, wait time.Duration) bool {
-	if now.Sub(l.swept) > minRepeat {
-		l.Sweep(now)
-	}
 	return s.Tokens >= 1 && (s.Tokens-float64(due(l.places, now)) >= 1 || l.demand.isBehind(wait))
 }
 
--- a/internal/limit/waitline/overload_test.go
+++ b/internal/limit/waitline/overload_test.go
@@ -156,6 +156,36 @@
 	}
 }
 
+// TestLine_Decide_lapseWithoutRequests guards against requests that wait in vain behind those of an entry that has ended, while no new
+// request comes.
+func TestLine_Decide_lapseWithoutRequests(t *testing.T) {
+	const rate, burst, dead = 100, 5, 10
+	var b quota.Bucket
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	decide := func(a waitline.Ask, number uint64) waitline.Decision {
+		d := l.Decide(now, waitline.Supply{Tokens: b.Level(now, rate, burst), Rate: rate, Room: true}, a, number)
+		if d.Granted && b.Take(now, rate, burst) != 0 {
+			t.Fatal("granted without a token")
+		}
+		return d
+	}
+	for b.Take(now, rate, burst) == 0 {
+	}
+	var d waitline.Decision
+	for i := range dead + 1 {
+		d = decide(waitline.Ask{Wait: time.Second}, uint64(i+1))
+	}
+	began := now
+	for d.Place != 0 {
+		now = now.Add(d.After)
+		d = decide(waitline.Ask{Wait: time.Second, Place: d.Place}, 100)
+	}
+	if waited := now.Sub(began); !d.Granted || waited > 500*time.Millisecond {
+		t.Errorf("got %+v after %s, want a token once the places ahead have lapsed", d, waited)
+	}
+}
+
 // TestLine_Decide_bounds guards against a line without end, and against waits that overflow.
 func TestLine_Decide_bounds(t *testing.T) {
 	var l waitline.Line
