Name the next token to requests that cannot wait where nobody waits

Where most requests of a customer cannot wait (routes without an objective, entries of older releases), those refused were told to come back up to ten times too late: the time was reckoned at the part of the rate that requests which wait get. With 1 of 200 that can wait and a rate of 4 a second, TestLine_Decide_afterWithoutWait had 1.75 s for a token that comes after 0.25 s, as it was told without a line. It has 0.25 s now.

--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -120,7 +120,7 @@
 		l.busySince = now
 	}
 	l.shortAt = now
-	forecast := l.forecast(s, a.Priority)
+	forecast := l.forecast(s, a.Priority, wait)
 	limit := min(wait, l.demand.commonWait())
 	if busy := now.Sub(l.busySince); busy > lasting {
 		limit = time.Duration(float64(limit) * float64(lasting) / float64(busy))
@@ -196,8 +196,8 @@
 func (l *Line) rate(s Supply) float64 { return s.Rate * l.demand.waitingPart() }
 
 // forecast returns the time until a new request of a priority gets a token at the end of the line. Requests of higher
-// priority that come meanwhile go ahead of it.
-func (l *Line) forecast(s Supply, priority int) time.Duration {
+// priority that come meanwhile go ahead of it. One that cannot wait gets the next token if nobody else does.
+func (l *Line) forecast(s Supply, priority int, wait time.Duration) time.Duration {
 	const leastPart = 0.05 // Of the rate, for a priority that others leave nothing to.
 	ahead, _ := slices.BinarySearchFunc(l.places, priority, func(p place, priority int) int {
 		if p.priority <= priority {
@@ -206,6 +206,9 @@
 		return 1
 	})
 	rate := l.rate(s)
+	if wait == 0 && len(l.places) == 0 {
+		rate = s.Rate
+	}
 	return l.until(s, float64(ahead), max(rate-l.demand.above(priority), leastPart*rate))
 }
 
--- a/internal/limit/waitline/overload_test.go
+++ b/internal/limit/waitline/overload_test.go
@@ -186,6 +186,21 @@
 	}
 }
 
+// TestLine_Decide_afterWithoutWait guards against requests that cannot wait, and that are told to come back long after there is a token
+// for them, as they are most of the customer's requests.
+func TestLine_Decide_afterWithoutWait(t *testing.T) {
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	s := waitline.Supply{Tokens: 100, Rate: 4, Room: true}
+	for i := range 200 {
+		l.Decide(now, s, waitline.Ask{Wait: time.Duration(i/199) * time.Second}, uint64(i+1))
+	}
+	d := l.Decide(now, waitline.Supply{Rate: 4, Room: true}, waitline.Ask{}, 300)
+	if got, least, most := d.After, 250*time.Millisecond, 260*time.Millisecond; d.Granted || got < least || got > most {
+		t.Errorf("got %+v, want a refusal until the next token, %s to %s", d, least, most)
+	}
+}
+
 // TestLine_Decide_bounds guards against a line without end, and against waits that overflow.
 func TestLine_Decide_bounds(t *testing.T) {
 	var l waitline.Line
