Make room for a request that may wait before it asks for a token

An entry that held as many requests as it may asked for a place first and refused the request then. The place stayed in the line at the home until 250 ms after its turn, and kept tokens from the requests of other entries. Without room a request now asks as one that cannot wait, and so may still be given a token.

--- a/internal/node/quotas/enforcer.go
+++ b/internal/node/quotas/enforcer.go
@@ -90,7 +90,7 @@
 
 	cooldown cooldown.Tracker
 	shards   [shardCount]shard
-	room     waitroom.Room // Requests of this node that wait.
+	room     waitroom.Room // Requests of this node that wait, or ask and may wait.
 	places   atomic.Int64  // In all lines.
 
 	mu       sync.Mutex // Guards the fields below.
--- a/internal/node/quotas/wait.go
+++ b/internal/node/quotas/wait.go
@@ -41,16 +41,20 @@
 	if a.Wait < waitline.MinWait {
 		a.Wait = 0
 	}
+	if a.Wait > 0 {
+		// Before it asks, since tokens are kept for a place until it lapses.
+		if q.room.Enter(customer) {
+			defer q.room.Leave(customer)
+		} else {
+			a.Wait = 0
+			q.count(`limit_waits_total{end="no room"}`)
+		}
+	}
 	began := time.Now()
 	g := q.take(ctx, customer, limit, a)
-	if g.place == 0 {
+	if g.place == 0 || a.Wait == 0 {
 		return q.finish(ctx, g)
 	}
-	if !q.room.Enter(customer) {
-		q.count(`limit_waits_total{end="no room"}`)
-		return q.refuse(g)
-	}
-	defer q.room.Leave(customer)
 	watched, stop := departure.Watch(ctx)
 	defer stop()
 	g, claims := q.claim(watched, customer, a, g, began.Add(a.Wait))
@@ -151,7 +155,7 @@
 	return q.lines <= linesPerSecond
 }
 
-// Waiting returns the number of requests of this node that wait for tokens.
+// Waiting returns the number of requests of this node that wait for tokens, or ask for one and may wait.
 func (q *Enforcer) Waiting() int { return q.room.Len() }
 
 // Places returns the number of places in the lines that this node keeps.
--- a/internal/node/quotas/wait_test.go
+++ b/internal/node/quotas/wait_test.go
@@ -360,3 +360,29 @@
 		}
 	})
 }
+
+// TestEnforcer_AdmitWithin_noRoom guards against tokens that are kept for requests which their entry has no room to hold: those of other
+// entries must get them.
+func TestEnforcer_AdmitWithin_noRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, 3, 800, 20)
+		_, home := f.home()
+		for range 2000 {
+			go func() { _, _ = f.send(t.Context(), f.nodes[(home+1)%3], time.Second) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		admitted := 0
+		for range 100 {
+			if _, err := f.send(t.Context(), f.nodes[(home+2)%3], 900*time.Millisecond); err == nil {
+				admitted++
+			}
+		}
+		if got := f.nodes[home].enforcer.Places(); got > 256 {
+			t.Errorf("got %d places in the line, want no more than the entry holds", got)
+		}
+		if want := 80; admitted < want {
+			t.Errorf("got %d of 100 requests of another entry admitted, want %d", admitted, want)
+		}
+		time.Sleep(2 * time.Second) // Until all have ended.
+	})
+}
