Count requests that a service has no room for as unlikely to be answered in time

An entry estimated the usual response time of a route from its responses alone. While a service shed half of what it got, requests waited at their customer's limit for up to 1.25 s of an objective of 2 s, and came to the queues of the overloaded service with the rest. Such requests are not likely to be answered within the objective, which the specification asks for. An admitted request that ends as NoCapacity, Overloaded or ShedByBackendServer now counts as a response after the objective, unless its caller had less time. In TestIngress_ServeHTTP_limitWaitOverload with half or all requests shed, a request does not wait (before: 1.25 and 1 s); with one in a hundred it still waits 1.1 s or more, and so it does 50 s after.

--- a/internal/node/ingress/ingress.go
+++ b/internal/node/ingress/ingress.go
@@ -178,11 +178,12 @@
 	}
 	if err != nil {
 		f := failure.From(err)
+		i.recordTime(rs, 0, f)
 		i.Dialect.WriteError(w, f)
 		i.recordEnd(rs, 0, f)
 		return
 	}
-	i.recordTime(rs, response.Status)
+	i.recordTime(rs, response.Status, nil)
 	if err := writeResponse(w, response); err != nil {
 		i.recordEnd(rs, response.Status, failure.From(err))
 		abort.Response(w, r)
--- a/internal/node/ingress/limit.go
+++ b/internal/node/ingress/limit.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"filbertturn.example/filbertturn/internal/limit/waitline"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
 	"filbertturn.example/filbertturn/internal/request/latency"
 )
 
@@ -55,13 +57,27 @@
 	return max(left-likely, 0)
 }
 
-// recordTime records the time between the admission of a request and the head of its response.
-func (i *Ingress) recordTime(rs *requestState, status int) {
-	if rs.admitted.IsZero() || rs.route.Target <= 0 || status >= http.StatusInternalServerError {
+// recordTime records the time between the admission of a request and the head of its response. A request that its service has no room
+// for counts as one that takes its whole objective, unless its caller had less time: the next ones are as unlikely to be answered in time.
+func (i *Ingress) recordTime(rs *requestState, status int, f *failure.Failure) {
+	objective := rs.route.Target
+	if rs.admitted.IsZero() || objective <= 0 {
 		return
 	}
 	now := time.Now()
-	i.usual.observe(now, rs.route.Name, now.Sub(rs.admitted))
+	took := now.Sub(rs.admitted)
+	switch {
+	case f != nil && lacksRoom(f.Kind) && rs.deadline.Sub(rs.started) >= objective:
+		took = max(took, objective)
+	case f != nil || status >= http.StatusInternalServerError:
+		return
+	}
+	i.usual.observe(now, rs.route.Name, took)
+}
+
+// lacksRoom reports whether a failure of a kind shows that a service is overloaded.
+func lacksRoom(k kind.Kind) bool {
+	return k == kind.NoCapacity || k == kind.Overloaded || k == kind.ShedByBackendServer
 }
 
 // usualTimes holds the response times of routes after their requests were admitted: the wait for a slot, attempts that
--- a/internal/node/ingress/limit_test.go
+++ b/internal/node/ingress/limit_test.go
@@ -12,6 +12,8 @@
 
 	"filbertturn.example/filbertturn/internal/backend/exchange"
 	"filbertturn.example/filbertturn/internal/node/dispatcher"
+	"filbertturn.example/filbertturn/internal/request/failure"
+	"filbertturn.example/filbertturn/internal/request/kind"
 )
 
 // slowForwarder answers after some time.
@@ -66,3 +68,53 @@
 		})
 	}
 }
+
+// sheddingForwarder answers after some time, but refuses each of the requests for which shed returns true.
+type sheddingForwarder struct {
+	slowForwarder
+	shed func(n int) bool
+	n    int
+}
+
+func (f *sheddingForwarder) Forward(ctx context.Context, r *dispatcher.Request) (*exchange.Response, error) {
+	if f.n++; f.shed(f.n) {
+		return nil, failure.New(kind.ShedByBackendServer, "", nil)
+	}
+	return f.slowForwarder.Forward(ctx, r)
+}
+
+// TestIngress_ServeHTTP_limitWaitOverload guards against requests that wait for their customer's limit although their service is overloaded:
+// they are unlikely to be answered, and come to its queues with less time.
+func TestIngress_ServeHTTP_limitWaitOverload(t *testing.T) {
+	tests := []struct {
+		desc        string
+		shed        func(n int) bool
+		least, most time.Duration
+	}{
+		{"one in a hundred is shed", func(n int) bool { return n%100 == 0 }, 1100 * time.Millisecond, 1250 * time.Millisecond},
+		{"half are shed", func(n int) bool { return n%2 == 0 }, 0, 0},
+		{"all are shed", func(int) bool { return true }, 0, 0},
+		{"as many were shed a minute ago", func(n int) bool { return n <= 100 && n%2 == 0 }, 1100 * time.Millisecond, 1250 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &fakePorts{}
+				i := newIngress(p)
+				i.Forwarder = &sheddingForwarder{slowForwarder: slowForwarder{500 * time.Millisecond}, shed: tt.shed}
+				for range 200 {
+					i.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/objective", nil))
+				}
+				p.asks = nil
+				i.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/objective", nil))
+				var got time.Duration
+				if len(p.asks) > 0 {
+					got = p.asks[0].Wait
+				}
+				if got < tt.least || got > tt.most {
+					t.Errorf("got a wait of %s at most, want %s to %s", got, tt.least, tt.most)
+				}
+			})
+		})
+	}
+}
