Count a place that is refused later as not accepted

A request that cannot wait may take a token that is about to be claimed while fewer of its kind were accepted, and places counted as accepted even if they got no token; the proportions of the last 200 requests also vary much. Places that are refused are now taken back, and the last 250 requests count.

--- a/internal/limit/waitline/demand.go
+++ b/internal/limit/waitline/demand.go
@@ -23,7 +23,7 @@
 	priorRequests = 20
 
 	// countDecay is the weight of the requests before the last one among those that were asked for and accepted.
-	countDecay = 0.995
+	countDecay = 0.996
 )
 
 // demand is what a line has learnt of the requests that ask for tokens. The zero value is ready for use.
@@ -87,6 +87,12 @@
 // accept counts a request that got a token or a place.
 func (d *demand) accept(wait time.Duration) { d.accepted[d.class(wait)]++ }
 
+// refuse takes back that a request was counted which got a place, but no token in time.
+func (d *demand) refuse(wait time.Duration) {
+	i := d.class(wait)
+	d.accepted[i] = max(d.accepted[i]-1, 0)
+}
+
 // class returns 1 for a request that can wait as long as most others, and 0 for the rest.
 func (d *demand) class(wait time.Duration) int {
 	if wait > 0 && wait >= d.common {
--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -74,6 +74,7 @@
 type place struct {
 	number   uint64
 	priority int
+	wait     time.Duration
 	latest   time.Time // When the request must have its token.
 	turn     time.Time // When it was told to claim it.
 }
@@ -133,7 +134,7 @@
 		return Decision{After: forecast}
 	}
 	l.demand.accept(wait)
-	p := place{number: number, priority: a.Priority, latest: now.Add(wait)}
+	p := place{number: number, priority: a.Priority, wait: wait, latest: now.Add(wait)}
 	i, _ := slices.BinarySearchFunc(l.places, p, func(a, b place) int {
 		if a.priority < b.priority || a.priority == b.priority && !a.latest.After(b.latest) {
 			return -1
@@ -160,6 +161,7 @@
 	p := l.places[i]
 	if now.After(p.latest) {
 		l.places = slices.Delete(l.places, i, i+1)
+		l.demand.refuse(p.wait)
 		return Decision{}, false
 	}
 	if s.Tokens-float64(due(l.places[:i], now)) >= 1 {
@@ -169,6 +171,7 @@
 	after := max(l.until(s, float64(i), l.rate(s)), minRepeat)
 	if now.Add(after).After(p.latest) {
 		l.places = slices.Delete(l.places, i, i+1)
+		l.demand.refuse(p.wait)
 		return Decision{After: after}, true
 	}
 	l.places[i].turn = now.Add(after)
--- a/internal/limit/waitline/overload_test.go
+++ b/internal/limit/waitline/overload_test.go
@@ -113,6 +113,34 @@
 	}
 }
 
+// TestLine_Decide_fewCanWait guards against requests that wait in vain, and get less than without the line, where most of the customer's
+// requests cannot wait: those must not take the tokens of all that wait.
+func TestLine_Decide_fewCanWait(t *testing.T) {
+	for _, part := range []float64{0.1, 0.3} {
+		list := []route{
+			{"order", part, 2 * time.Second, 580 * time.Millisecond, 0},
+			{"no objective", 1 - part, 0, 580 * time.Millisecond, 0},
+		}
+		for _, excess := range []float64{300, 1000} {
+			demand := func(t time.Duration) float64 {
+				if t > 5*time.Second && t < 15*time.Second {
+					return excess
+				}
+				return 110
+			}
+			before, _ := play(refuse, 0, list, 20*time.Second, demand)
+			after, _ := play(line, 0, list, 20*time.Second, demand)
+			for _, r := range list {
+				got, want := after.of("large", r.name), before.of("large", r.name)
+				t.Logf("%g of %g a second can wait: %s: %s; without the line %d admitted", part, excess, r.name, got, want.admitted)
+				if float64(got.admitted) < 0.94*float64(want.admitted) {
+					t.Errorf("%g of %g a second can wait: %s: got %d admitted, want as many as without the line, %d, but for 6%%", part, excess, r.name, got.admitted, want.admitted)
+				}
+			}
+		}
+	}
+}
+
 // TestLine_Decide_priorities guards against requests of a high priority that wait behind others, and against low ones that wait
 // in vain.
 func TestLine_Decide_priorities(t *testing.T) {
