Name what waits at limits as the rest of the code does

A reader met two figurative names (patience, quiet), a method that waited, claimed, counted and logged in one, and bounds and comments out of their order. Longest delays are now called maxDelay and shareWait, the constants of a lasting excess say so, and AdmitWithin leaves the wait itself to await. A comment in exchange.go named a type that does not exist.

--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -214,7 +214,7 @@
 
 // read returns the response once its header has been read and checked.
 func (x *exchange) read() (*Response, error) {
-	resp, err := x.readHeader() //nolint:bodyclose // answerBody owns the connection and closes it.
+	resp, err := x.readHeader() //nolint:bodyclose // responseBody owns the connection and closes it.
 	if err != nil {
 		return nil, x.classifyError(err)
 	}
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -36,12 +36,12 @@
 
 // TakeShare is Take for a node that cannot reach the home: it admits one nodes-th
 // of the rate, with a burst of shareBurst. If the share is used up, but less than
-// patience from its next token, the request is admitted too, and must not be sent
+// maxDelay from its next token, the request is admitted too, and must not be sent
 // before the returned time has passed. TakeShare returns false if it is refused.
-func (b *Bucket) TakeShare(now time.Time, rate float64, nodes int, patience time.Duration) (time.Duration, bool) {
+func (b *Bucket) TakeShare(now time.Time, rate float64, nodes int, maxDelay time.Duration) (time.Duration, bool) {
 	_, rate = b.ShareLevel(now, rate, nodes)
 	wait := b.take(rate)
-	if wait > patience {
+	if wait > maxDelay {
 		return wait, false
 	}
 	if wait > 0 {
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -70,18 +70,18 @@
 // request each, and that a request which waits for a token takes it from those after it.
 func TestBucket_TakeShare(t *testing.T) {
 	const nodes = 10
-	for _, patience := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
+	for _, maxDelay := range []time.Duration{0, 100 * time.Millisecond, time.Second} {
 		admitted := 0
 		for range nodes {
 			var b quota.Bucket
 			for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
-				if wait, ok := b.TakeShare(time.Unix(0, 0).Add(at), 20, nodes, patience); ok && at+wait < 10*time.Second {
+				if wait, ok := b.TakeShare(time.Unix(0, 0).Add(at), 20, nodes, maxDelay); ok && at+wait < 10*time.Second {
 					admitted++
 				}
 			}
 		}
 		if want := 20*10 + nodes; admitted > want {
-			t.Errorf("patience %s: got %d requests, want at most %d", patience, admitted, want)
+			t.Errorf("maxDelay %s: got %d requests, want at most %d", maxDelay, admitted, want)
 		}
 	}
 }
--- a/internal/limit/quota/shared.go
+++ b/internal/limit/quota/shared.go
@@ -25,11 +25,11 @@
 }
 
 // Take admits a request of the asking node, or refuses it and returns false and the time
-// after which to retry. If the shares are used up, but less than patience from their next
+// after which to retry. If the shares are used up, but less than maxDelay from their next
 // token, the request is admitted too, and must not be sent before the returned time has
 // passed. The rate is that of the customer's whole limit, in requests per second, and nodes
 // is the number of nodes that divide it.
-func (p *SharedBucket) Take(now time.Time, asker netip.AddrPort, rate float64, nodes int, patience time.Duration) (time.Duration, bool) {
+func (p *SharedBucket) Take(now time.Time, asker netip.AddrPort, rate float64, nodes int, maxDelay time.Duration) (time.Duration, bool) {
 	rate /= float64(max(nodes, 1))
 	own := p.member(now, asker, rate)
 	sum, count := 0.0, 0
@@ -40,7 +40,7 @@
 	}
 	whole := Bucket{level: sum}
 	wait := whole.take(rate * float64(count))
-	if wait > patience {
+	if wait > maxDelay {
 		return wait, false
 	}
 	need := own.bucket.draw(1)
--- a/internal/limit/quota/shared_test.go
+++ b/internal/limit/quota/shared_test.go
@@ -23,15 +23,15 @@
 		rate := rapid.Float64Range(1, 50).Draw(t, "rate")
 		nodes := rapid.IntRange(1, 30).Draw(t, "nodes")
 		askers := rapid.IntRange(1, nodes).Draw(t, "askers")
-		patience := time.Duration(rapid.IntRange(0, 500).Draw(t, "patience")) * time.Millisecond
+		maxDelay := time.Duration(rapid.IntRange(0, 500).Draw(t, "maxDelay")) * time.Millisecond
 		now := time.Unix(0, 0)
 		var p quota.SharedBucket
 		var admitted []time.Time
 		for range 300 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "gap")) * time.Millisecond)
-			wait, ok := p.Take(now, node(rapid.IntRange(0, askers-1).Draw(t, "asker")), rate, nodes, patience)
-			if ok != (wait <= patience) {
-				t.Fatalf("got a wait of %s and %v, want the request admitted if it waits %s at most", wait, ok, patience)
+			wait, ok := p.Take(now, node(rapid.IntRange(0, askers-1).Draw(t, "asker")), rate, nodes, maxDelay)
+			if ok != (wait <= maxDelay) {
+				t.Fatalf("got a wait of %s and %v, want the request admitted if it waits %s at most", wait, ok, maxDelay)
 			}
 			if ok {
 				admitted = append(admitted, now.Add(wait))
--- a/internal/limit/waitline/demand.go
+++ b/internal/limit/waitline/demand.go
@@ -118,8 +118,8 @@
 	return (d.asked[1] + priorRequests) / (d.asked[0] + d.asked[1] + priorRequests)
 }
 
-// above returns the requests per second of higher priorities.
-func (d *demand) above(priority int) float64 {
+// rateAbove returns the requests per second of higher priorities.
+func (d *demand) rateAbove(priority int) float64 {
 	sum := 0.0
 	for _, p := range d.priorities {
 		if p.priority < priority {
--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -28,12 +28,12 @@
 	// granted to others, and claims under way, make a turn later than forecast.
 	forecastMargin = 0.9
 
-	// lasting is the time of excess demand from which the line gets shorter. The longer demand has exceeded the rate, the
+	// lastingExcess is the time of excess demand from which the line gets shorter. The longer demand has exceeded the rate, the
 	// longer it probably will, and all that a line then does is to delay every request.
-	lasting = 5 * time.Second
+	lastingExcess = 5 * time.Second
 
-	// quiet is the time without a request that found no token after which demand no longer exceeds the rate.
-	quiet = time.Second
+	// excessTimeout is the time without a request that found no token after which demand no longer exceeds the rate.
+	excessTimeout = time.Second
 
 	maxAfter = 365 * 24 * time.Hour
 )
@@ -65,7 +65,7 @@
 	places    []place // By priority, then by the time that is left.
 	demand    demand
 	shortAt   time.Time // When the last request found no token.
-	busySince time.Time // Since when demand exceeds the rate.
+	busySince time.Time // When the current excess of demand began.
 	swept     time.Time // When the places that have lapsed were removed.
 	lapsed    int       // Places that have lapsed since TakeLapsed was called.
 }
@@ -74,9 +74,9 @@
 type place struct {
 	number   uint64
 	priority int
-	wait     time.Duration
-	latest   time.Time // When the request must have its token.
-	turn     time.Time // When it was told to claim it.
+	wait     time.Duration // Most time for which the request may wait.
+	latest   time.Time     // When the request must have its token.
+	turn     time.Time     // When it was told to claim it.
 }
 
 // Len returns the number of places.
@@ -117,14 +117,14 @@
 		l.demand.accept(wait)
 		return Decision{Granted: true}
 	}
-	if now.Sub(l.shortAt) > quiet {
+	if now.Sub(l.shortAt) > excessTimeout {
 		l.busySince = now
 	}
 	l.shortAt = now
 	forecast := l.forecast(s, a.Priority, wait)
 	limit := min(wait, l.demand.commonWait())
-	if busy := now.Sub(l.busySince); busy > lasting {
-		limit = time.Duration(float64(limit) * float64(lasting) / float64(busy))
+	if busy := now.Sub(l.busySince); busy > lastingExcess {
+		limit = time.Duration(float64(limit) * float64(lastingExcess) / float64(busy))
 	}
 	if wait == 0 || !s.Room || len(l.places) >= maxPlaces || forecast > time.Duration(forecastMargin*float64(limit)) {
 		if len(l.places) > 0 {
@@ -212,7 +212,7 @@
 	if wait == 0 && len(l.places) == 0 {
 		rate = s.Rate
 	}
-	return l.until(s, float64(ahead), max(rate-l.demand.above(priority), leastPart*rate))
+	return l.until(s, float64(ahead), max(rate-l.demand.rateAbove(priority), leastPart*rate))
 }
 
 // until returns the time until there is a token for a request with others ahead of it.
--- a/internal/node/ingress/limit.go
+++ b/internal/node/ingress/limit.go
@@ -94,7 +94,7 @@
 	e := u.routes[route]
 	if e == nil {
 		if u.routes == nil || len(u.routes) >= maxUsualTimes {
-			// Routes that are not in the configuration any more go first with the others, which are soon known again.
+			// Also removes routes that have left the configuration. Those in use are soon known again.
 			u.routes = make(map[string]*latency.Estimator)
 		}
 		e = new(latency.Estimator)
--- a/internal/node/quotas/enforcer.go
+++ b/internal/node/quotas/enforcer.go
@@ -128,8 +128,8 @@
 	return q.AdmitWithin(ctx, customer, waitline.Ask{})
 }
 
-// patience returns the time for which a request may wait for a token of a share.
-func patience(ctx context.Context) time.Duration {
+// shareWait returns the longest time for which a request may wait for a token of a share that is taken ahead.
+func shareWait(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return maxShareWait
@@ -147,7 +147,7 @@
 	switch substitute, ok := q.substitute(customer, homes, home); {
 	case !ok:
 	case substitute == q.Self:
-		return q.takeShared(time.Now(), q.Self, customer, l, q.Nodes(), patience(ctx), a)
+		return q.takeShared(time.Now(), q.Self, customer, l, q.Nodes(), shareWait(ctx), a)
 	default:
 		asked = time.Now()
 		if g, ok := q.askToken(ctx, substitute, question.SubstituteTokens, customer, a); ok {
@@ -155,7 +155,7 @@
 		}
 		a = remaining(a, asked)
 	}
-	return q.takeOwnShare(time.Now(), customer, l, q.Nodes(), patience(ctx), a)
+	return q.takeOwnShare(time.Now(), customer, l, q.Nodes(), shareWait(ctx), a)
 }
 
 // remaining returns an ask with the time to wait that is left of the one made at asked.
--- a/internal/node/quotas/wait.go
+++ b/internal/node/quotas/wait.go
@@ -42,7 +42,7 @@
 		a.Wait = 0
 	}
 	if a.Wait > 0 {
-		// Before it asks, since tokens are kept for a place until it lapses.
+		// Enters before it asks, since tokens are kept for a place until it lapses.
 		if q.room.Enter(customer) {
 			defer q.room.Leave(customer)
 		} else {
@@ -55,6 +55,12 @@
 	if g.place == 0 || a.Wait == 0 {
 		return q.finish(ctx, g)
 	}
+	return q.await(ctx, customer, a, g, began)
+}
+
+// await waits with the place of a request that asked at began until it is granted a token or refused, or its caller
+// leaves.
+func (q *Enforcer) await(ctx context.Context, customer string, a waitline.Ask, g grant, began time.Time) error {
 	watched, stop := departure.Watch(ctx)
 	defer stop()
 	g, claims := q.claim(watched, customer, a, g, began.Add(a.Wait))
@@ -107,9 +113,10 @@
 	return q.admitRemote(ctx, customer, limit, homes, home, a)
 }
 
-// finish ends a request that does not wait in a line: it waits for the token of a share that it was granted.
+// finish returns the outcome of a request that has no place. One that was granted a token of a share ahead waits until
+// the token may be used.
 func (q *Enforcer) finish(ctx context.Context, g grant) error {
-	if !g.admitted || g.wait > patience(ctx) {
+	if !g.admitted || g.wait > shareWait(ctx) {
 		return q.refuse(g)
 	}
 	if g.wait > 0 {
@@ -169,8 +176,8 @@
 	line *waitline.Line
 	// level returns the tokens in the bucket and their rate.
 	level func() (tokens, perSecond float64)
-	// take takes a token, if there is one within patience, and returns when it may be used.
-	take func(patience time.Duration) (time.Duration, bool)
+	// take takes a token, if there is one within maxDelay, and returns the time after which it may be used.
+	take func(maxDelay time.Duration) (time.Duration, bool)
 }
 
 // decide lets the line of a pool decide on a request. The shard's mu must be held.
@@ -273,7 +280,7 @@
 }
 
 // takeOwnShare takes a token out of this node's own share.
-func (q *Enforcer) takeOwnShare(now time.Time, customer string, l set.Limit, nodes int, patience time.Duration, a waitline.Ask) grant {
+func (q *Enforcer) takeOwnShare(now time.Time, customer string, l set.Limit, nodes int, maxDelay time.Duration, a waitline.Ask) grant {
 	s := q.shard(customer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -281,12 +288,12 @@
 	return q.takeOf(now, pool{
 		line:  s.line(forItself, customer, a),
 		level: func() (float64, float64) { return b.ShareLevel(now, l.Rate, nodes) },
-		take:  func(patience time.Duration) (time.Duration, bool) { return b.TakeShare(now, l.Rate, nodes, patience) },
-	}, patience, a)
+		take:  func(maxDelay time.Duration) (time.Duration, bool) { return b.TakeShare(now, l.Rate, nodes, maxDelay) },
+	}, maxDelay, a)
 }
 
 // takeShared takes a token out of the combined shares, as the substitute.
-func (q *Enforcer) takeShared(now time.Time, asker netip.AddrPort, customer string, l set.Limit, nodes int, patience time.Duration, a waitline.Ask) grant {
+func (q *Enforcer) takeShared(now time.Time, asker netip.AddrPort, customer string, l set.Limit, nodes int, maxDelay time.Duration, a waitline.Ask) grant {
 	s := q.shard(customer)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -301,20 +308,20 @@
 	return q.takeOf(now, pool{
 		line:  s.line(asSubstitute, customer, a),
 		level: func() (float64, float64) { return p.Level(now, asker, l.Rate, nodes) },
-		take: func(patience time.Duration) (time.Duration, bool) {
-			return p.Take(now, asker, l.Rate, nodes, patience)
+		take: func(maxDelay time.Duration) (time.Duration, bool) {
+			return p.Take(now, asker, l.Rate, nodes, maxDelay)
 		},
-	}, patience, a)
+	}, maxDelay, a)
 }
 
 // takeOf takes a token out of shares. A request that gets no place and has little time left may wait for a token that is taken at
 // once, like one that cannot wait in a line.
-func (q *Enforcer) takeOf(now time.Time, p pool, patience time.Duration, a waitline.Ask) grant {
+func (q *Enforcer) takeOf(now time.Time, p pool, maxDelay time.Duration, a waitline.Ask) grant {
 	if a.Wait >= waitline.MinWait || a.Place != 0 {
 		if g := q.decide(now, p, a); g.admitted || g.place != 0 || a.Wait >= maxShareWait {
 			return g
 		}
 	}
-	wait, ok := p.take(patience)
+	wait, ok := p.take(maxDelay)
 	return grant{admitted: ok, wait: wait}
 }
--- a/internal/peer/transport/bounds.go
+++ b/internal/peer/transport/bounds.go
@@ -14,8 +14,8 @@
 	maxPriority   = 1 << 20
 	maxSteps      = 1 << 20
 	minStatus     = 200
-	maxHeaders    = 1024 // As many lines as an owner takes from its backend server.
 	maxStatus     = 599  // An owner of an earlier release passes on up to 999, which no status class defines.
+	maxHeaders    = 1024 // As many lines as an owner takes from its backend server.
 )
 
 // HeadError reports a field of the head of a response that no node sends.
