--- a/internal/limit/waitline/line.go
+++ b/internal/limit/waitline/line.go
@@ -28,12 +28,12 @@
 	// granted to others, and claims under way, make a turn later than forecast.
 	forecastMargin = 0.9
 
-	// lasting is the time of excess demand from which the line gets shorter. The longer demand has exceeded the rate, the
+	// lastingExcess is the time of excess demand from which the line gets shorter. The longer demand has exceeded the rate, the
 	// longer it probably will, and all that a line then does is to delay every request.
-	lasting = 5 * time.Second
+	lastingExcess = 5 * time.Second
 
-	// quiet is the time without a request that found no token after which demand no longer exceeds the rate.
-	quiet = time.Second
+	// excessTimeout is the time without a request that found no token after which demand no longer exceeds the rate.
+	excessTimeout = time.Second
 
 	maxAfter = 365 * 24 * time.Hour
 )
@@ -65,7 +65,7 @@
 	places    []place // By priority, then by the time that is left.
 	demand    demand
 	shortAt   time.Time // When the last request found no token.
-	busySince time.Time // Since when demand exceeds the rate.
+	busySince time.Time // When the current excess of demand began.
 	swept     time.Time // When the places that have lapsed were removed.
 	lapsed    int       // Places that have lapsed since TakeLapsed was called.
 }
@@ -74,8 +74,9 @@
 type place struct {
 	number   uint64
 	priority int
-	latest   time.Time // When the request must have its token.
-	turn     time.Time // When it was told to claim it.
+	wait     time.Duration // Most time for which the request may wait.
+	latest   time.Time     // When the request must have its token.
+	turn     time.Time     // When it was told to claim it.
 }
 
 // Len returns the number of places.
@@ -98,6 +99,10 @@
 
 // Decide grants a request a token, gives it a place, or refuses it. The number is that of the place, if it gets one.
 func (l *Line) Decide(now time.Time, s Supply, a Ask, number uint64) Decision {
+	// Also before claims, as no new request may come while others wait behind places that have lapsed.
+	if now.Sub(l.swept) > minRepeat {
+		l.Sweep(now)
+	}
 	if i := l.find(a.Place); i >= 0 {
 		if d, ok := l.claim(now, s, i); ok {
 			return d
@@ -112,14 +117,14 @@
 		l.demand.accept(wait)
 		return Decision{Granted: true}
 	}
-	if now.Sub(l.shortAt) > quiet {
+	if now.Sub(l.shortAt) > excessTimeout {
 		l.busySince = now
 	}
 	l.shortAt = now
-	forecast := l.forecast(s, a.Priority)
+	forecast := l.forecast(s, a.Priority, wait)
 	limit := min(wait, l.demand.commonWait())
-	if busy := now.Sub(l.busySince); busy > lasting {
-		limit = time.Duration(float64(limit) * float64(lasting) / float64(busy))
+	if busy := now.Sub(l.busySince); busy > lastingExcess {
+		limit = time.Duration(float64(limit) * float64(lastingExcess) / float64(busy))
 	}
 	if wait == 0 || !s.Room || len(l.places) >= maxPlaces || forecast > time.Duration(forecastMargin*float64(limit)) {
 		if len(l.places) > 0 {
@@ -129,7 +134,7 @@
 		return Decision{After: forecast}
 	}
 	l.demand.accept(wait)
-	p := place{number: number, priority: a.Priority, latest: now.Add(wait)}
+	p := place{number: number, priority: a.Priority, wait: wait, latest: now.Add(wait)}
 	i, _ := slices.BinarySearchFunc(l.places, p, func(a, b place) int {
 		if a.priority < b.priority || a.priority == b.priority && !a.latest.After(b.latest) {
 			return -1
@@ -156,6 +161,7 @@
 	p := l.places[i]
 	if now.After(p.latest) {
 		l.places = slices.Delete(l.places, i, i+1)
+		l.demand.refuse(p.wait)
 		return Decision{}, false
 	}
 	if s.Tokens-float64(due(l.places[:i], now)) >= 1 {
@@ -165,6 +171,7 @@
 	after := max(l.until(s, float64(i), l.rate(s)), minRepeat)
 	if now.Add(after).After(p.latest) {
 		l.places = slices.Delete(l.places, i, i+1)
+		l.demand.refuse(p.wait)
 		return Decision{After: after}, true
 	}
 	l.places[i].turn = now.Add(after)
@@ -174,9 +181,6 @@
 // admits reports whether a new request gets a token at once: one that no waiting request is about to claim, or, if it
 // cannot wait, one for each that those which can wait get.
 func (l *Line) admits(now time.Time, s Supply, wait time.Duration) bool {
-	if now.Sub(l.swept) > minRepeat {
-		l.Sweep(now)
-	}
 	return s.Tokens >= 1 && (s.Tokens-float64(due(l.places, now)) >= 1 || l.demand.isBehind(wait))
 }
 
@@ -195,8 +199,8 @@
 func (l *Line) rate(s Supply) float64 { return s.Rate * l.demand.waitingPart() }
 
 // forecast returns the time until a new request of a priority gets a token at the end of the line. Requests of higher
-// priority that come meanwhile go ahead of it.
-func (l *Line) forecast(s Supply, priority int) time.Duration {
+// priority that come meanwhile go ahead of it. One that cannot wait gets the next token if nobody else does.
+func (l *Line) forecast(s Supply, priority int, wait time.Duration) time.Duration {
 	const leastPart = 0.05 // Of the rate, for a priority that others leave nothing to.
 	ahead, _ := slices.BinarySearchFunc(l.places, priority, func(p place, priority int) int {
 		if p.priority <= priority {
@@ -205,7 +209,10 @@
 		return 1
 	})
 	rate := l.rate(s)
-	return l.until(s, float64(ahead), max(rate-l.demand.above(priority), leastPart*rate))
+	if wait == 0 && len(l.places) == 0 {
+		rate = s.Rate
+	}
+	return l.until(s, float64(ahead), max(rate-l.demand.rateAbove(priority), leastPart*rate))
 }
 
 // until returns the time until there is a token for a request with others ahead of it.
--- a/internal/limit/waitline/overload_test.go
+++ b/internal/limit/waitline/overload_test.go
@@ -113,6 +113,34 @@
 	}
 }
 
+// TestLine_Decide_fewCanWait guards against requests that wait in vain, and get less than without the line, where most of the customer's
+// requests cannot wait: those must not take the tokens of all that wait.
+func TestLine_Decide_fewCanWait(t *testing.T) {
+	for _, part := range []float64{0.1, 0.3} {
+		list := []route{
+			{"order", part, 2 * time.Second, 580 * time.Millisecond, 0},
+			{"no objective", 1 - part, 0, 580 * time.Millisecond, 0},
+		}
+		for _, excess := range []float64{300, 1000} {
+			demand := func(t time.Duration) float64 {
+				if t > 5*time.Second && t < 15*time.Second {
+					return excess
+				}
+				return 110
+			}
+			before, _ := play(refuse, 0, list, 20*time.Second, demand)
+			after, _ := play(line, 0, list, 20*time.Second, demand)
+			for _, r := range list {
+				got, want := after.of("large", r.name), before.of("large", r.name)
+				t.Logf("%g of %g a second can wait: %s: %s; without the line %d admitted", part, excess, r.name, got, want.admitted)
+				if float64(got.admitted) < 0.94*float64(want.admitted) {
+					t.Errorf("%g of %g a second can wait: %s: got %d admitted, want as many as without the line, %d, but for 6%%", part, excess, r.name, got.admitted, want.admitted)
+				}
+			}
+		}
+	}
+}
+
 // TestLine_Decide_priorities guards against requests of a high priority that wait behind others, and against low ones that wait
 // in vain.
 func TestLine_Decide_priorities(t *testing.T) {
@@ -156,6 +184,51 @@
 	}
 }
 
+// TestLine_Decide_lapseWithoutRequests guards against requests that wait in vain behind those of an entry that has ended, while no new
+// request comes.
+func TestLine_Decide_lapseWithoutRequests(t *testing.T) {
+	const rate, burst, dead = 100, 5, 10
+	var b quota.Bucket
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	decide := func(a waitline.Ask, number uint64) waitline.Decision {
+		d := l.Decide(now, waitline.Supply{Tokens: b.Level(now, rate, burst), Rate: rate, Room: true}, a, number)
+		if d.Granted && b.Take(now, rate, burst) != 0 {
+			t.Fatal("granted without a token")
+		}
+		return d
+	}
+	for b.Take(now, rate, burst) == 0 {
+	}
+	var d waitline.Decision
+	for i := range dead + 1 {
+		d = decide(waitline.Ask{Wait: time.Second}, uint64(i+1))
+	}
+	began := now
+	for d.Place != 0 {
+		now = now.Add(d.After)
+		d = decide(waitline.Ask{Wait: time.Second, Place: d.Place}, 100)
+	}
+	if waited := now.Sub(began); !d.Granted || waited > 500*time.Millisecond {
+		t.Errorf("got %+v after %s, want a token once the places ahead have lapsed", d, waited)
+	}
+}
+
+// TestLine_Decide_afterWithoutWait guards against requests that cannot wait, and that are told to come back long after there is a token
+// for them, as they are most of the customer's requests.
+func TestLine_Decide_afterWithoutWait(t *testing.T) {
+	var l waitline.Line
+	now := time.Unix(1000, 0)
+	s := waitline.Supply{Tokens: 100, Rate: 4, Room: true}
+	for i := range 200 {
+		l.Decide(now, s, waitline.Ask{Wait: time.Duration(i/199) * time.Second}, uint64(i+1))
+	}
+	d := l.Decide(now, waitline.Supply{Rate: 4, Room: true}, waitline.Ask{}, 300)
+	if got, least, most := d.After, 250*time.Millisecond, 260*time.Millisecond; d.Granted || got < least || got > most {
+		t.Errorf("got %+v, want a refusal until the next token, %s to %s", d, least, most)
+	}
+}
+
 // TestLine_Decide_bounds guards against a line without end, and against waits that overflow.
 func TestLine_Decide_bounds(t *testing.T) {
 	var l waitline.Line
