Forecast waits by the remaining times of running requests

At a service whose costs spread widely, waits that were forecast by a mean slot time and a place in the queue were too short for calls, which were queued, timed out and were lost.

From a coefficient of variation of 1.2 on, a wait is the time by which enough slots are expected to be freed, requests are queued with a caution of two standard deviations, and the expected cost is added to the due time in the order of the queue. Loads tell the work that is left and the wait for a slot.

--- a/internal/backend/scheduler/load.go
+++ b/internal/backend/scheduler/load.go
@@ -21,6 +21,9 @@
 	TrialDue           bool          // It is suspected and a trial may start now.
 	LimitInterval      time.Duration // Mean time between two requests at its limit; zero if there is none.
 	LimitDelay         time.Duration // Time until its limit lets a further request start; negative if it could have started before.
+	WorkKnown          bool          // Work and SlotDelay are set: requests are placed by work.
+	Work               time.Duration // Expected slot time that is left of the requests in slots and in the queue.
+	SlotDelay          time.Duration // Expected wait of a new request for a free slot.
 }
 
 // Accepts reports whether a backend server with this load would start or queue a
--- a/internal/backend/scheduler/queue.go
+++ b/internal/backend/scheduler/queue.go
@@ -27,18 +27,23 @@
 // enqueue appends t to the queue if it is expected to start and be answered in time. A
 // full queue refuses the request that would start last.
 func (s *Scheduler) enqueue(now time.Time, t Request) []Effect {
-	ahead := 0
+	ahead, work := 0, time.Duration(0)
 	last := -1
 	for i, w := range s.waiting {
 		if s.precedes(now, w.request, t) {
 			ahead++
+			work += w.request.cost
 		}
 		if last < 0 || s.precedes(now, s.waiting[last].request, w.request) {
 			last = i
 		}
 	}
-	expected := s.expectedWait(now, ahead)
-	if start := now.Add(s.maxWait(now, t, expected)); s.usableSlots() == 0 || !s.meetsDeadline(start, t) {
+	expected := s.expectedWait(now, ahead, work)
+	cautious := expected
+	if s.byWork() {
+		cautious = max(cautious, s.cautiousWait(now, ahead, work))
+	}
+	if start := now.Add(s.maxWait(now, t, cautious)); s.usableSlots() == 0 || !s.meetsDeadline(start, t) {
 		return []Effect{s.refuse(now, t)}
 	}
 	if s.shouldShed(now, t) {
@@ -84,7 +89,9 @@
 // precedes reports whether a starts before b. The order is: requests that can still meet
 // their objective, so that an overload does not make every request late; nested
 // requests, whose parent requests hold a slot meanwhile; priority; more calls already
-// answered for the same parent request; earlier due time; identifier.
+// answered for the same parent request; earlier due time, to which the expected cost is added
+// while requests are placed by work, so that long ones do not hold up short ones that are due
+// at the same time, and still come first once they have waited for as long; identifier.
 func (s *Scheduler) precedes(now time.Time, a, b Request) bool {
 	late := func(t Request) bool { return now.Add(s.expectedDuration(t.Route)).After(t.Due) }
 	if la, lb := late(a), late(b); la != lb {
@@ -93,12 +100,15 @@
 	if a.Nested != b.Nested {
 		return a.Nested
 	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.Steps, a.Steps), a.Due.Compare(b.Due), cmp.Compare(a.ID, b.ID)) < 0
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.Steps, a.Steps), a.Due.Add(a.cost).Compare(b.Due.Add(b.cost)), cmp.Compare(a.ID, b.ID)) < 0
 }
 
 // expectedWait returns the expected time until the request at a position of the queue
-// starts.
-func (s *Scheduler) expectedWait(now time.Time, position int) time.Duration {
+// starts. The requests before it have the given work.
+func (s *Scheduler) expectedWait(now time.Time, position int, ahead time.Duration) time.Duration {
+	if s.byWork() {
+		return max(s.slotWait(now, position, ahead), s.startDelay(now, position+1))
+	}
 	forSlot := s.meanSlotTime() * time.Duration(position+1) / time.Duration(max(s.usableSlots(), 1))
 	return max(forSlot, s.startDelay(now, position+1))
 }
--- a/internal/backend/scheduler/scheduler.go
+++ b/internal/backend/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	"filbertturn.example/filbertturn/internal/backend/overload"
 	"filbertturn.example/filbertturn/internal/backend/ratelimit"
 	"filbertturn.example/filbertturn/internal/backend/waittime"
+	"filbertturn.example/filbertturn/internal/backend/workload"
 	"filbertturn.example/filbertturn/internal/health/suspicion"
 	"filbertturn.example/filbertturn/internal/request/order"
 )
@@ -34,27 +35,6 @@
 	initialTrialInterval = 500 * time.Millisecond
 	maxTrialInterval     = 800 * time.Millisecond
 
-	// overdueFactor times the mean response time of a route is the age at which a
-	// request counts as overdue, which means that it probably hangs.
-	overdueFactor = 2.2
-
-	// minOverdueAge is the least age at which a request counts as overdue.
-	minOverdueAge = 80 * time.Millisecond
-
-	// defaultDurationFactor times the objective is the expected response time while the
-	// route's mean is unknown.
-	defaultDurationFactor = 0.35
-
-	// smoothingFactor is the weight of the newest sample in a moving average.
-	smoothingFactor = 0.15
-
-	// minSamples is the number of responses from which a route's mean is used.
-	minSamples = 4
-
-	// defaultSlotTime is the time that a request is expected to hold its slot while no
-	// request has been answered yet.
-	defaultSlotTime = 100 * time.Millisecond
-
 	// minTickInterval is the least time to a tick that marks requests as overdue.
 	minTickInterval = 5 * time.Millisecond
 
@@ -77,6 +57,10 @@
 	Due           time.Time     // Time at which the objective ends.
 	QueueDeadline time.Time     // Time until which it may wait in the queue; it is refused then.
 	Objective     time.Duration // Response time within which a response has its full value.
+	Path          string        // Without the query.
+	Customer      string
+	Length        int64         // Of the body in bytes; -1 if unknown, 0 if there is none.
+	cost          time.Duration // Expected slot time, see placeByWork; zero if it is not known.
 }
 
 // trialAllowed reports whether the request may be a trial. A retry may not, because few
@@ -125,12 +109,7 @@
 	activeAtStart time.Duration // Active time of the scheduler when the request started.
 	overdue       bool          // It probably hangs.
 	trial         bool
-}
-
-// movingMean is the moving average of the active time of a route's responses.
-type movingMean struct {
-	value   time.Duration
-	samples int
+	cost          workload.Cost // Estimate of its slot time when it started.
 }
 
 // Scheduler assigns the slots of one backend server. Its zero value is closed. It is not
@@ -161,6 +140,11 @@
 	cold           ratelimit.Limiter // Paces them during its cold start.
 	coldUntil      time.Time         // End of the cold start.
 	stop           stop              // Set once the node stops.
+	costs          workload.Estimator
+	wide           bool // The measured costs spread widely, see wideSpread.
+
+	// CountOnly switches placement by likely cost off, as placeByWork does.
+	CountOnly bool
 }
 
 // Open accepts requests for the given number of slots, at least one, and starts those
@@ -182,6 +166,7 @@
 	s.suspicion = suspicion.Estimator{}
 	s.slotTime = 0
 	s.routeMeans = nil
+	s.costs.ResetSpeed()
 	s.limiter.Assume(now)
 	s.cold, s.coldUntil = ratelimit.Limiter{}, time.Time{}
 }
@@ -197,6 +182,7 @@
 	if now.Sub(s.lastResponse) < slotTimeMaxAge {
 		l.MeanSlotTime = s.slotTime
 	}
+	s.addWork(now, &l)
 	return l
 }
 
@@ -217,12 +203,6 @@
 	s.observedActive = max(s.observedActive, worked)
 }
 
-// relativeAge returns the active time that a request has run for at the given active
-// time of the scheduler, as a multiple of its usual duration.
-func (s *Scheduler) relativeAge(r *runningRequest, worked time.Duration) float64 {
-	return float64(max(worked-r.activeAtStart, 0)) / float64(s.usualDuration(r.request))
-}
-
 // Acquire asks for a slot for t. Its effects may also concern other requests.
 func (s *Scheduler) Acquire(now time.Time, t Request) []Effect {
 	effects := s.Tick(now)
@@ -230,6 +210,7 @@
 }
 
 func (s *Scheduler) admit(now time.Time, t Request) []Effect {
+	t.cost = s.expectedCost(now, t)
 	suspect := s.failureProbability(now)
 	free := s.slots - len(s.running)
 	if s.startDelay(now, 1) > 0 {
@@ -282,36 +263,6 @@
 	return max(n, 0)
 }
 
-func (s *Scheduler) meanSlotTime() time.Duration {
-	if s.slotTime == 0 {
-		return defaultSlotTime
-	}
-	return s.slotTime
-}
-
-// expectedDuration returns the expected response time of a route, or zero if too few
-// responses are known.
-func (s *Scheduler) expectedDuration(route string) time.Duration {
-	if m := s.routeMeans[route]; m != nil && m.samples >= minSamples {
-		return m.value
-	}
-	return 0
-}
-
-// overdueAge returns the active time from which a running request is overdue.
-func (s *Scheduler) overdueAge(t Request) time.Duration {
-	return max(time.Duration(overdueFactor*float64(s.usualDuration(t))), minOverdueAge)
-}
-
-// usualDuration returns the usual duration of a request: that of its route, or else a
-// part of its objective. It is never zero.
-func (s *Scheduler) usualDuration(t Request) time.Duration {
-	if e := s.expectedDuration(t.Route); e > 0 {
-		return e
-	}
-	return max(time.Duration(defaultDurationFactor*float64(t.Objective)), time.Millisecond)
-}
-
 func (s *Scheduler) start(now time.Time, t Request, trial bool) Start {
 	if s.running == nil {
 		s.running = make(map[uint64]*runningRequest)
@@ -319,7 +270,7 @@
 	s.lastStart = now
 	s.limiter.Take(now)
 	s.cold.Take(now)
-	s.running[t.ID] = &runningRequest{request: t, started: now, activeAtStart: s.advanceActiveTime(now), trial: trial}
+	s.running[t.ID] = &runningRequest{request: t, started: now, activeAtStart: s.advanceActiveTime(now), trial: trial, cost: s.estimate(now, t)}
 	if trial {
 		s.nextTrial = now.Add(min(initialTrialInterval<<min(s.failedTrials, 8), maxTrialInterval))
 	}
@@ -327,7 +278,7 @@
 }
 
 func (s *Scheduler) refuse(now time.Time, t Request) Refuse {
-	return Refuse{ID: t.ID, RetryAfter: s.expectedWait(now, len(s.waiting))}
+	return Refuse{ID: t.ID, RetryAfter: s.expectedWait(now, len(s.waiting), s.waitingWork())}
 }
 
 // Release releases the slot of a running request that ended with outcome o, or removes
@@ -374,26 +325,6 @@
 	}
 }
 
-func (s *Scheduler) recordResponse(now time.Time, r *runningRequest) {
-	s.lastResponse = now
-	s.slotTime = movingAverage(s.meanSlotTime(), now.Sub(r.started))
-	if s.routeMeans == nil {
-		s.routeMeans = make(map[string]*movingMean)
-	}
-	took := s.advanceActiveTime(now) - r.activeAtStart
-	m := s.routeMeans[r.request.Route]
-	if m == nil {
-		m = &movingMean{value: took}
-		s.routeMeans[r.request.Route] = m
-	}
-	m.value = movingAverage(m.value, took)
-	m.samples++
-}
-
-func movingAverage(old, sample time.Duration) time.Duration {
-	return old + time.Duration(smoothingFactor*float64(sample-old))
-}
-
 // Tick marks overdue requests. It refuses waiting requests that can no longer be
 // answered in time, that have no usable slot to wait for, or that should not wait for
 // a suspected backend server. It starts others that now may.
