Count actual against predicted slot times

An operator could not see whether requests are placed by likely cost, nor whether the predictions are any good.

Answered requests are counted by route and by the ratio of the actual slot time to the predicted one, a log line and a counter say when placement by likely cost begins and ends, and lines about runs have the prediction, the work that is left and the wait for a slot. Paths, customers and lengths are passed to the scheduler. No time of a run changes: go test -race of the package passes.

--- a/internal/node/executor/execution.go
+++ b/internal/node/executor/execution.go
@@ -48,6 +48,7 @@
 	instance      string
 	started       time.Time
 	failingBefore float64                 // Failure probability of the backend server at the start.
+	predicted     time.Duration           // Slot time that was expected at the start.
 	limit         dialect.RequestLimit    // Limit that the backend server named last before the start.
 	body          *identifiedBody         // Nil if the fingerprint was known before the start.
 	ctx           context.Context         // Of the run.
@@ -73,6 +74,7 @@
 		executor: ex, id: id, order: o, client: ex.client, instance: a.InstanceID, started: now, failingBefore: ex.scheduler.Load(now).FailureProbability,
 		limit: ex.limit, disconnected: make(chan struct{}),
 	}
+	_, x.predicted, _ = ex.scheduler.Prediction(now, id)
 	if ex.running == nil {
 		ex.running = make(map[uint64]*execution)
 	}
@@ -186,7 +188,14 @@
 // backend server at its start and now.
 func (x *execution) logEvent() *zerolog.Event {
 	load := x.executor.Load(time.Now())
-	return x.executor.Log.Info().Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Route", x.order.Route).
+	line := x.executor.Log.Info()
+	if x.predicted > 0 {
+		line = line.Dur("Predicted", x.predicted)
+	}
+	if load.WorkKnown {
+		line = line.Dur("Work", load.Work).Dur("SlotDelay", load.SlotDelay)
+	}
+	return line.Str("RequestID", x.order.ID).Str("Instance", x.instance).Str("Route", x.order.Route).
 		Bool("Idempotent", x.order.Idempotent).Bool("Nested", x.order.Nested).Uint32("OfferLevel", uint32(x.order.Level)).
 		Dur("Took", time.Since(x.started)).Float64("FailingBefore", math.Round(x.failingBefore*1000)/1000).
 		Float64("Failing", math.Round(load.FailureProbability*1000)/1000).Int("Running", load.Running)
--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -100,6 +100,7 @@
 	closing   bool
 	evacuated bool
 	inFlight  map[uint64]struct{} // Requests that run or wait, by identifier.
+	byWork    bool                // Requests were placed by likely cost when the last one ended.
 }
 
 // Heartbeat handles a heartbeat of the backend server.
@@ -345,6 +346,7 @@
 	ex.deliver(ex.scheduler.Acquire(now, scheduler.Request{
 		ID: id, Route: o.Route, Priority: o.Priority, Nested: o.Nested, Steps: o.Steps, Idempotent: o.Idempotent, Retry: o.Retry,
 		Level: o.Level, Deadline: o.Deadline, Due: o.Due, QueueDeadline: o.QueueDeadline, Objective: o.Objective,
+		Path: pathOf(o.Target), Customer: o.Customer, Length: o.ContentLength,
 	}))
 	return id, wait
 }
@@ -448,7 +450,10 @@
 	delete(ex.waiters, id)
 	delete(ex.orders, id)
 	delete(ex.running, id)
-	ex.deliver(ex.scheduler.Release(time.Now(), id, o))
+	ended := ex.costOf(id, o)
+	effects := ex.scheduler.Release(time.Now(), id, o)
+	ex.recordCost(ended)
+	ex.deliver(effects)
 }
 
 // StartCall registers a nested call that the backend server makes. It returns what is
