--- a/internal/peer/transport/load.go
+++ b/internal/peer/transport/load.go
@@ -27,12 +27,17 @@
 
 // LoadToProto encodes the load of the backend server beside a node.
 func LoadToProto(l scheduler.Load) *peerpb.Load {
-	return &peerpb.Load{
+	m := &peerpb.Load{
 		Running: int32(l.Running), Waiting: int32(l.Waiting), Slots: int32(l.Slots),
 		Failing: float32(l.FailureProbability), Serving: l.Serving, HoldNanos: int64(l.MeanSlotTime), Trial: l.TrialDue,
 		UnusedMillis:        uint32(l.Idle.Milliseconds()),
 		LimitIntervalMillis: uint32(l.LimitInterval.Milliseconds()), LimitDelayMillis: int32(l.LimitDelay.Milliseconds()),
 	}
+	if l.WorkKnown {
+		work := uint32(min(l.Work, maxLoadTime).Milliseconds())
+		m.WorkMillis, m.SlotDelayMillis = &work, uint32(min(l.SlotDelay, maxLoadTime).Milliseconds())
+	}
+	return m
 }
 
 // LoadFromProto decodes what LoadToProto encodes. It returns a LoadError if the ranking of
@@ -45,6 +50,11 @@
 		LimitInterval: time.Duration(l.GetLimitIntervalMillis()) * time.Millisecond,
 		LimitDelay:    time.Duration(l.GetLimitDelayMillis()) * time.Millisecond,
 	}
+	if l.WorkMillis != nil {
+		load.WorkKnown = true
+		load.Work = time.Duration(l.GetWorkMillis()) * time.Millisecond
+		load.SlotDelay = time.Duration(l.GetSlotDelayMillis()) * time.Millisecond
+	}
 	if err := validateLoad(load); err != nil {
 		return scheduler.Load{}, err
 	}
@@ -68,7 +78,8 @@
 		field string
 		value time.Duration
 		least time.Duration
-	}{{"MeanSlotTime", l.MeanSlotTime, 0}, {"Idle", l.Idle, 0}, {"LimitInterval", l.LimitInterval, 0}, {"LimitDelay", l.LimitDelay, -maxLoadTime}} {
+	}{{"MeanSlotTime", l.MeanSlotTime, 0}, {"Idle", l.Idle, 0}, {"LimitInterval", l.LimitInterval, 0}, {"LimitDelay", l.LimitDelay, -maxLoadTime}, {"Work", l.Work, 0},
+		{"SlotDelay", l.SlotDelay, 0}} {
 		if d.value < d.least || d.value > maxLoadTime {
 			return &LoadError{d.field, d.value}
 		}
--- a/internal/peer/transport/load_test.go
+++ b/internal/peer/transport/load_test.go
@@ -20,6 +20,8 @@
 		{Running: 2, Waiting: 3, Slots: 4, FailureProbability: 0.5, Serving: true, MeanSlotTime: time.Second, Idle: 2 * time.Second, TrialDue: true},
 		{LimitInterval: 250 * time.Millisecond, LimitDelay: time.Second},
 		{LimitInterval: 250 * time.Millisecond, LimitDelay: -time.Second},
+		{WorkKnown: true},
+		{WorkKnown: true, Work: 4 * time.Second, SlotDelay: 300 * time.Millisecond},
 	}
 	for _, want := range tests {
 		if got, err := transport.LoadFromProto(transport.LoadToProto(want)); got != want || err != nil {
@@ -45,6 +47,7 @@
 	}
 	tests = append(tests,
 		&peerpb.Load{Slots: math.MaxInt32}, &peerpb.Load{Running: math.MaxInt32}, &peerpb.Load{UnusedMillis: math.MaxUint32},
+		&peerpb.Load{WorkMillis: proto.Uint32(math.MaxUint32)}, &peerpb.Load{WorkMillis: proto.Uint32(0), SlotDelayMillis: math.MaxUint32},
 		&peerpb.Load{LimitIntervalMillis: math.MaxUint32}, &peerpb.Load{LimitDelayMillis: math.MaxInt32}, &peerpb.Load{LimitDelayMillis: math.MinInt32},
 	)
 	for _, l := range tests {
@@ -55,6 +58,15 @@
 	}
 }
 
+// TestLoadFromProto_withoutWork guards against taking the load of an older release, which reports no work,
+// for that of a backend server with no work left.
+func TestLoadFromProto_withoutWork(t *testing.T) {
+	got, err := transport.LoadFromProto(&peerpb.Load{Running: 8, Slots: 8, Serving: true, SlotDelayMillis: 5})
+	if want := (scheduler.Load{Running: 8, Slots: 8, Serving: true}); got != want || err != nil {
+		t.Errorf("got %+v and %v, want %+v", got, err, want)
+	}
+}
+
 func FuzzLoadFromProto(f *testing.F) {
 	good, _ := proto.Marshal(transport.LoadToProto(scheduler.Load{Running: 2, Slots: 4, FailureProbability: 0.5, Serving: true, MeanSlotTime: time.Second}))
 	f.Add(good)
