Leave ranks by work out of the ranking

Most requests go to a free slot.

The ranking is as before. Owners still report work and wait for a slot. Reverting this commit brings the ranks back.

--- a/internal/route/ranking/ranking.go
+++ b/internal/route/ranking/ranking.go
@@ -247,14 +247,13 @@
 	}
 	var options []option
 	fastest := r.leastSlotTime(func(c *candidate) bool { return c.node.Service == w.Service })
-	usual := r.usualSlotTime(w.Service)
 	for i, a := range r.order {
 		c := r.nodes[a]
 		if !c.eligible(now, w) || slices.Contains(w.Exclude, a) {
 			continue
 		}
 		draw, luck := w.draws(i)
-		cost := c.cost(now, w, usual) + c.slownessCost(fastest)*c.freshness(now) + maxJitter*luck
+		cost := c.cost(now, w) + c.slownessCost(fastest)*c.freshness(now) + maxJitter*luck
 		options = append(options, option{a, draw, cost})
 	}
 	if len(options) == 0 {
@@ -333,8 +332,8 @@
 
 // cost returns the cost of sending the request to the node, without slownessCost and
 // jitter. Its unit is the utilisation of the slots.
-func (c *candidate) cost(now time.Time, w PickOptions, usual time.Duration) float64 {
-	cost := max(c.utilisation(now, usual), float64(c.inFlight)/float64(max(c.load.Slots, 1))) + c.limitCost(now)
+func (c *candidate) cost(now time.Time, w PickOptions) float64 {
+	cost := max(c.utilisation(now), float64(c.inFlight)/float64(max(c.load.Slots, 1))) + c.limitCost(now)
 	if w.AllowTrial && c.load.TrialDue && c.localFailing == 0 {
 		cost += trialCost
 	} else {
@@ -377,6 +376,18 @@
 	return max(0, 1-float64(age)/float64(loadLifetime))
 }
 
+// utilisation returns the estimated number of running, waiting and newly sent requests
+// as a fraction of the slots. An older load counts less and is replaced by
+// unknownUtilisation.
+func (c *candidate) utilisation(now time.Time) float64 {
+	if c.load.Slots == 0 {
+		return unknownUtilisation
+	}
+	reported := float64(c.load.Running+c.load.Waiting+c.sentSinceLoad) / float64(c.load.Slots)
+	f := c.freshness(now)
+	return f*reported + (1-f)*unknownUtilisation
+}
+
 // Nodes returns all nodes, sorted by address.
 func (r *Ranking) Nodes() []Node {
 	list := make([]Node, 0, len(r.nodes))
