--- a/internal/node/executor/executor.go
+++ b/internal/node/executor/executor.go
@@ -115,6 +115,7 @@
 	cold      coldstart.Tracker   // Of the current incarnation.
 	pace      scheduler.ColdStart // As last given to the scheduler.
 	inFlight  map[uint64]struct{} // Requests that run or wait, by identifier.
+	byWork    bool                // Requests were placed by likely cost when the last one ended.
 }
 
 // Heartbeat handles a heartbeat of the backend server.
@@ -331,6 +332,7 @@
 		ID: id, Route: o.Route, Priority: o.Priority, Nested: o.Nested, Steps: o.Steps, Idempotent: o.Idempotent, Retry: o.Retry,
 		Level: o.Level, Deadline: o.Deadline, Due: o.Due, QueueDeadline: o.QueueDeadline, Objective: o.Objective,
 		Account: callorigin.Run{RetryProbability: o.RetryProbability, Paid: o.PaidCalls},
+		Path:    pathOf(o.Target), Customer: o.Customer, Length: o.ContentLength,
 	}))
 	return id, wait
 }
@@ -443,7 +445,10 @@
 	delete(ex.waiters, id)
 	delete(ex.orders, id)
 	delete(ex.running, id)
-	ex.deliver(ex.scheduler.Release(time.Now(), id, o))
+	ended := ex.costOf(id, o)
+	effects := ex.scheduler.Release(time.Now(), id, o)
+	ex.recordCost(ended)
+	ex.deliver(effects)
 	if ex.OnUnusedCalls != nil {
 		unused = ex.scheduler.TakeUnusedCalls()
 	}
