Keep requests after an upload from being cancelled by its read deadline

A caller that sent a request on a kept connection got 408, or no answer, if the response to an upload before it took more than 1 s to be written, or if a response went on for over a minute after its head. The gate bounds the time in which the rest of a body is read. After the end of a body net/http goes on reading a byte in the background, and cancels the connection's context, also for later requests, if that fails before the response is written. The deadline now ends for such a read. TestGate_slowReader got 408 for the second request before, and 200 now.

--- a/internal/node/admission/conn.go
+++ b/internal/node/admission/conn.go
@@ -19,6 +19,10 @@
 	// serverBuffer is the size of the buffer with which net/http reads, in which the head of a next request may lie.
 	serverBuffer = 4 << 10
 
+	// backgroundRead is the size of the buffer with which net/http awaits the next request, or the end of the connection,
+	// while a request is handled whose body was read. It cancels this request and all later ones if that fails.
+	backgroundRead = 1
+
 	refusalTimeout = 500 * time.Millisecond // In which a client can read why it was refused.
 	refusalRest    = 256 << 10              // Bytes that are read of what it goes on sending.
 )
@@ -48,6 +52,7 @@
 	useful  bool  // The latest request was served.
 	drawn   int64 // For the request.
 	pending int   // Lines that were read with the latest request, and belong to the next ones.
+	limited bool  // The read deadline is that of limitRead.
 }
 
 // Read implements net.Conn. What is read of a head is paid for before it is returned.
@@ -56,6 +61,9 @@
 	if c.part == budget.Nodes {
 		return n, err
 	}
+	if n == 0 && len(p) == backgroundRead && errors.Is(err, os.ErrDeadlineExceeded) && c.unlimitRead() {
+		n, err = c.TCPConn.Read(p)
+	}
 	if n == 0 {
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.headBegun() {
 			c.gate.report(c, HeadTimeout)
@@ -174,11 +182,11 @@
 // one of the configuration.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limited = false
 	if c.part != budget.Nodes && t.After(now) {
-		c.mu.Lock()
-		p := c.phase
-		c.mu.Unlock()
-		switch p {
+		switch c.phase {
 		case reading:
 			t = now.Add(c.gate.clients().HeaderTimeout)
 		case idle:
@@ -189,6 +197,23 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// limitRead bounds the time in which the rest of the request's body is read.
+func (c *Conn) limitRead(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limited = true
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(d)) // Fails if the connection has ended.
+}
+
+// unlimitRead ends what limitRead began, and reports whether no other deadline was set since.
+func (c *Conn) unlimitRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limited := c.limited
+	c.limited = false
+	return limited && c.TCPConn.SetReadDeadline(time.Time{}) == nil
+}
+
 // refuse tells the client why its request is refused, which has not run, and ends the connection so that it can
 // read that.
 func (c *Conn) refuse(r Reason) {
--- a/internal/node/admission/gate_test.go
+++ b/internal/node/admission/gate_test.go
@@ -196,6 +196,48 @@
 	}
 }
 
+// slowConn is a connection on which each write takes longer than the rest of a body is awaited.
+type slowConn struct{ *admission.Conn }
+
+func (c slowConn) NetConn() net.Conn { return c.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	time.Sleep(1200 * time.Millisecond)
+	return c.Conn.Write(p)
+}
+
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{raw.(*admission.Conn)}, nil
+}
+
+// TestGate_slowReader guards against requests on a kept connection that are cancelled because the response to the upload
+// before them was written slowly.
+func TestGate_slowReader(t *testing.T) {
+	g := &admission.Gate{Limits: admission.NewLimits(0, 0)}
+	address := serve(t, func(l *net.TCPListener) net.Listener { return slowListener{g.Listen(l, budget.Callers)} }, g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Err() != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+		} else if r.URL.Path != "/unread" {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+	})))
+	for _, path := range []string{"/", "/unread"} {
+		c := connect(t, address)
+		for n := range 2 {
+			c.write("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\ntext")
+			if got := c.status(); got != http.StatusOK {
+				t.Errorf("got %d for request %d to %s, want 200", got, n+1, path)
+			}
+		}
+	}
+}
+
 // BenchmarkGate reports the time that a gate adds to a request on a kept connection, as the ratio of the medians
 // of the times with and without it, taken in turn.
 func BenchmarkGate(b *testing.B) {
--- a/internal/node/admission/handler.go
+++ b/internal/node/admission/handler.go
@@ -90,8 +90,7 @@
 // head of a response.
 func (r *recorder) limitRead(d time.Duration) {
 	if r.hasBody {
-		// Fails if the connection has ended.
-		_ = r.conn.SetReadDeadline(time.Now().Add(d))
+		r.conn.limitRead(d)
 	}
 }
 
