Give the end of a response its own time to be written

The gate set the write deadline at each write of the handler, but net/http writes what is in its buffers, and the last chunk, after the handler has returned, when that deadline may be over. It is now set again when the handler returns. TestGate_lateEnd got a closed connection before, and 200 now twice.

--- a/internal/node/admission/gate_test.go
+++ b/internal/node/admission/gate_test.go
@@ -238,6 +238,24 @@
 	}
 }
 
+// TestGate_lateEnd guards against responses that are lost because their end comes long after their last bytes: what was
+// written last is in a buffer until then.
+func TestGate_lateEnd(t *testing.T) {
+	g := &admission.Gate{Limits: admission.NewLimits(0, 0)}
+	address := serve(t, func(l *net.TCPListener) net.Listener { return g.Listen(l, budget.Callers) }, g.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "text")
+		// In place of waiting until the time for the write is over.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now())
+	})))
+	c := connect(t, address)
+	for n := range 2 {
+		c.write(request + "\r\n")
+		if got := c.status(); got != http.StatusOK {
+			t.Fatalf("got %d for request %d, want 200 (0: closed)", got, n+1)
+		}
+	}
+}
+
 // BenchmarkGate reports the time that a gate adds to a request on a kept connection, as the ratio of the medians
 // of the times with and without it, taken in turn.
 func BenchmarkGate(b *testing.B) {
--- a/internal/node/admission/handler.go
+++ b/internal/node/admission/handler.go
@@ -38,6 +38,7 @@
 		defer func() {
 			c.endRequest(rec.isUseful())
 			rec.limitRead(unreadBodyTimeout)
+			rec.limitWrite() // What is in the buffers is written now, and may be older.
 		}()
 		if !c.beginRequest(bodyCost(r.ContentLength)) {
 			g.report(c, MemoryUsedUp)
@@ -94,10 +95,15 @@
 	}
 }
 
-// Write implements http.ResponseWriter.
-func (r *recorder) Write(p []byte) (int, error) {
+// limitWrite bounds the time in which the client has to read what is written next.
+func (r *recorder) limitWrite() {
 	// Fails if the connection has ended.
 	_ = r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) {
+	r.limitWrite()
 	return r.ResponseWriter.Write(p)
 }
 
@@ -105,7 +111,7 @@
 func (r *recorder) WriteHeader(status int) {
 	r.status = status
 	r.limitRead(duplexTimeout)
-	_ = r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	r.limitWrite()
 	r.ResponseWriter.WriteHeader(status)
 }
 
