Never refuse a request that is about to be handled for the byte after it

A client that sends its next request early could get 503 for one that ran, when the memory for clients was used up. net/http reads a byte in the background from just before it calls the handler. If that byte had no room, the gate wrote a refusal on the connection while the handler began. Such a byte is noted and not paid for. TestGate_pipelinedByte got the refusal before; it passes now, as do the others of the package under the race detector.

--- a/internal/node/admission/conn.go
+++ b/internal/node/admission/conn.go
@@ -70,7 +70,7 @@
 		}
 		return n, err
 	}
-	if r := c.observe(p[:n], len(p) <= serverBuffer); r != "" {
+	if r := c.observe(p[:n], len(p)); r != "" {
 		c.gate.report(c, r)
 		c.refuse(r)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errRefused}
@@ -85,13 +85,14 @@
 	return c.phase == reading
 }
 
-// observe takes note of what was read, and returns why the request is refused, or "". buffered says that it may
-// contain the head of a next request.
-func (c *Conn) observe(p []byte, buffered bool) Reason {
+// observe takes note of what was read, and returns why the request is refused, or "". size is that of the buffer for
+// it: if it is no larger than serverBuffer, what was read may contain the head of a next request.
+func (c *Conn) observe(p []byte, size int) Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == busy {
-		if buffered {
+	// A request is not refused any more once net/http reads in the background, since it is about to be handled.
+	if c.phase == busy || c.begun && size == backgroundRead {
+		if size <= serverBuffer {
 			c.pending = bytes.Count(p, []byte{'\n'}) + 1
 		}
 		return ""
--- a/internal/node/admission/gate_test.go
+++ b/internal/node/admission/gate_test.go
@@ -256,6 +256,33 @@
 	}
 }
 
+// TestGate_pipelinedByte guards against a refusal by 503 of a request that runs: net/http reads the first byte of the next one
+// in the background from before the handler is called.
+func TestGate_pipelinedByte(t *testing.T) {
+	const head = request + "\r\n"
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	// Newcomers hold half at most: a connection with the head, and nothing more.
+	all := 2 * (int64(12<<10) + 4*int64(len(head)) + 256*3)
+	g := &admission.Gate{Limits: budget.Limits{Total: budget.Amount{Files: 10, Bytes: all}, Share: 1 << 20}}
+	c := connect(t, l.Addr().String())
+	c.write(head + "G")
+	server, err := g.Listen(l, budget.Callers).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	if _, err := io.ReadFull(server, make([]byte, len(head))); err != nil {
+		t.Fatalf("got %v for the head, want none", err)
+	}
+	if _, err := server.Read(make([]byte, 1)); err != nil {
+		t.Errorf("got %v for the byte after it, want none", err)
+	}
+}
+
 // BenchmarkGate reports the time that a gate adds to a request on a kept connection, as the ratio of the medians
 // of the times with and without it, taken in turn.
 func BenchmarkGate(b *testing.B) {
