Return the memory of streams that end with unread bytes at once

Nodes could refuse requests of other nodes as NoCapacity while memory for them was free. What arrived on a session and nobody has read is paid for in steps of 64 KB. A stream that ended with up to 256 KB of it gave one step back; the rest followed with one step for each later frame, so that a quiet session kept it. All steps but one are now returned.

--- a/internal/peer/link/budget_test.go
+++ b/internal/peer/link/budget_test.go
@@ -123,3 +123,21 @@
 		t.Errorf("got %v for another node, want a reply", err)
 	}
 }
+
+// TestUnreadWatch guards against memory for what nobody reads that stays drawn after its streams have ended.
+func TestUnreadWatch(t *testing.T) {
+	b := &boundedBudget{limit: 1 << 30}
+	room, _ := b.OpenStream(0)
+	w := newUnreadWatch(nil, room)
+	for id := range uint32(20) {
+		w.note(id, muxFlagOpen)
+		w.receive(id, 256<<10)
+	}
+	for id := range uint32(20) {
+		w.note(id, muxFlagClose)
+		w.end(id)
+	}
+	if got := b.inUse(); got > 2*unreadStep {
+		t.Errorf("got %d bytes in use without a stream, want %d at most", got, 2*unreadStep)
+	}
+}
--- a/internal/peer/link/unread.go
+++ b/internal/peer/link/unread.go
@@ -106,8 +106,10 @@
 	case w.total > w.drawn:
 		w.drawn += unreadStep * ((w.total-w.drawn-1)/unreadStep + 1)
 	case w.drawn-w.total >= 2*unreadStep:
-		w.room.Return(unreadStep)
-		w.drawn -= unreadStep
+		// One step is kept, so that a stream that is read as fast as it is sent does not draw and return all the time.
+		rest := unreadStep * ((w.drawn-w.total)/unreadStep - 1)
+		w.room.Return(rest)
+		w.drawn -= rest
 	}
 }
 
