Count the fields of a frame that follow a group

A connection to the port for nodes could make a node take about 100 bytes for every two that it sent without paying for them: a frame of 1 MB with a group before its fields counted as one field. The counter skipped groups as if their number were 1, and took another number for the end of the message, whereas the decoder skips the group as an unknown field. It now skips a group by its own number.

--- a/internal/peer/frame/frame.go
+++ b/internal/peer/frame/frame.go
@@ -137,12 +137,12 @@
 func countFields(buf []byte, depth int) int {
 	n := 0
 	for len(buf) > 0 {
-		_, kind, size := protowire.ConsumeTag(buf)
+		number, kind, size := protowire.ConsumeTag(buf)
 		if size < 0 {
 			return n
 		}
 		buf = buf[size:]
-		size = protowire.ConsumeFieldValue(1, kind, buf)
+		size = protowire.ConsumeFieldValue(number, kind, buf)
 		if kind == protowire.BytesType {
 			var text []byte
 			text, size = protowire.ConsumeBytes(buf)
--- a/internal/peer/frame/frame_test.go
+++ b/internal/peer/frame/frame_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"testing"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"filbertturn.example/filbertturn/internal/peer/peerpb"
@@ -42,6 +43,25 @@
 	}
 }
 
+// TestConn_Read_group guards against fields that are decoded and not paid for because they follow a group, which no
+// message of nodes has.
+func TestConn_Read_group(t *testing.T) {
+	const fields = 100
+	head := protowire.AppendTag(nil, 1000, protowire.StartGroupType)
+	head = protowire.AppendTag(head, 1000, protowire.EndGroupType)
+	for range fields {
+		head = protowire.AppendBytes(protowire.AppendTag(head, 5, protowire.BytesType), nil)
+	}
+	body := protowire.AppendBytes(protowire.AppendTag(nil, 1, protowire.BytesType), head)
+	c := New(bytes.NewBuffer(append([]byte{0, 0, byte(len(body) >> 8), byte(len(body))}, body...)))
+	admitted := 0
+	c.Admit = func(_, n int) bool { admitted += n; return true }
+	f, err := c.Read()
+	if got := len(f.GetRequest().GetHeaders()); err != nil || got != fields || admitted < got {
+		t.Errorf("got %d fields, %d of them admitted, and %v, want %d and all of them", got, admitted, err, fields)
+	}
+}
+
 func FuzzConn_Read(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 0})
 	f.Add([]byte{0, 0, 0, 2, 10, 0})
