Say in the code for untrusted clients what a newcomer would ask

Comments named constants by other names, and did not say which lists of the budget hold which holders, or what a connection's part is when the backend server beside the node has opened it. The limit of bodies no longer names a part that no connection of HTTP has: those of the backend server beside the node are accepted as callers', so that the check is the same. The rounding to steps of unread bytes is written once.

--- a/internal/limit/budget/budget.go
+++ b/internal/limit/budget/budget.go
@@ -77,7 +77,7 @@
 	useful bool      // It has sent a request that was served.
 	since  time.Time // When it sent that, or was opened.
 	busy   int       // Requests that were read and not answered.
-	began  time.Time // When it drew first since then, unless it is a newcomer.
+	began  time.Time // When it drew first for a request that is not read yet; zero without one, and for newcomers.
 	place  *list.Element
 }
 
@@ -91,9 +91,9 @@
 	holders   map[uint64]*holder
 	lastID    uint64
 
-	// Those that may be evicted, in the order in which they last were useful.
-	// Ordinary ones that have drawn memory for a request which is not read yet are in partial, in the order in which they
-	// began.
+	// Holders that may be evicted. Newcomers are in waiting, and the others in ordinary, in the order in which they last
+	// were useful. Those of the others that have drawn memory for a request which is not read yet are in partial, in the
+	// order in which they began.
 	waiting, partial, ordinary [Parts]list.List
 }
 
--- a/internal/node/admission/conn.go
+++ b/internal/node/admission/conn.go
@@ -42,8 +42,8 @@
 type Conn struct {
 	*net.TCPConn
 	gate *Gate
-	part budget.Part
-	id   uint64 // In the budget.
+	part budget.Part // Of the address at which it was accepted. Connections of Callers may draw from Beside.
+	id   uint64      // In the budget.
 
 	mu      sync.Mutex // Guards the fields below.
 	phase   phase
@@ -101,7 +101,8 @@
 	lines := c.head.Lines
 	n := c.head.Count(p)
 	if n == 0 {
-		n, lines = len(p), lines-bytes.Count(p, []byte{'\n'}) // More than the head was asked for.
+		// The head had ended, but net/http goes on reading, which is paid for as well.
+		n, lines = len(p), lines-bytes.Count(p, []byte{'\n'})
 	}
 	if c.head.Bytes > int(c.gate.clients().MaxHead) {
 		return HeadTooLarge
--- a/internal/node/admission/handler.go
+++ b/internal/node/admission/handler.go
@@ -45,7 +45,7 @@
 			refuse(rec, http.StatusServiceUnavailable)
 			return
 		}
-		if limit := g.clients().MaxBody; limit > 0 && (c.part == budget.Callers || c.part == budget.Beside) {
+		if limit := g.clients().MaxBody; limit > 0 && c.part == budget.Callers {
 			if r.ContentLength > limit {
 				g.report(c, BodyTooLarge)
 				refuse(rec, http.StatusRequestEntityTooLarge)
--- a/internal/node/admission/limits.go
+++ b/internal/node/admission/limits.go
@@ -32,10 +32,10 @@
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 5 * time.Minute // Callers close idle connections sooner.
 
-	// HeadSlack is what a head may be longer than its limit, as in net/http.
+	// headSlack is what a head may be longer than its limit, as in net/http.
 	headSlack = 4 << 10
 
-	// MaxHead bounds the limit of heads that the configuration may name.
+	// maxHead bounds the limit of heads that the configuration may name.
 	maxHead = 1 << 20
 )
 
--- a/internal/peer/link/unread.go
+++ b/internal/peer/link/unread.go
@@ -101,10 +101,13 @@
 func (w *unreadWatch) add(n int64) {
 	w.total += n
 	switch {
-	case w.total > w.drawn && !w.room.Draw(unreadStep*((w.total-w.drawn-1)/unreadStep+1)):
-		w.full = true
 	case w.total > w.drawn:
-		w.drawn += unreadStep * ((w.total-w.drawn-1)/unreadStep + 1)
+		missing := unreadStep * ((w.total-w.drawn-1)/unreadStep + 1) // Rounded up to whole steps.
+		if !w.room.Draw(missing) {
+			w.full = true
+			return
+		}
+		w.drawn += missing
 	case w.drawn-w.total >= 2*unreadStep:
 		// One step is kept, so that a stream that is read as fast as it is sent does not draw and return all the time.
 		rest := unreadStep * ((w.drawn-w.total)/unreadStep - 1)
