Pay for a pipelined head although a byte after it was read in the background

A client could make a node take the head of a next request of 4 KB, with some 1,000 lines, at the cost of one line. The lines that were read together with the request before were counted, but the byte that net/http reads in the background while that is handled replaced their number. Such a byte now adds to it. TestGate_pipelinedLines had 61,696 bytes drawn for a head of 900 lines before, less than the 230,400 of its lines; it passes now, as do the others of the package under the race detector.

--- a/internal/node/admission/conn.go
+++ b/internal/node/admission/conn.go
@@ -92,7 +92,10 @@
 	defer c.mu.Unlock()
 	// A request is not refused any more once net/http reads in the background, since it is about to be handled.
 	if c.phase == busy || c.begun && size == backgroundRead {
-		if size <= serverBuffer {
+		switch {
+		case size == backgroundRead: // What was read before is still in the server's buffer.
+			c.pending += bytes.Count(p, []byte{'\n'})
+		case size <= serverBuffer:
 			c.pending = bytes.Count(p, []byte{'\n'}) + 1
 		}
 		return ""
--- a/internal/node/admission/gate_test.go
+++ b/internal/node/admission/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -283,6 +284,37 @@
 	}
 }
 
+// TestGate_pipelinedLines guards against a head that was read with the request before and is not paid for, because one
+// more byte was read in the background since.
+func TestGate_pipelinedLines(t *testing.T) {
+	const lines = 900
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	g := &admission.Gate{Limits: admission.NewLimits(0, 0)}
+	text := request + "\r\n" + request + strings.Repeat("a:\r\n", lines) + "\r\n"
+	c := connect(t, l.Addr().String())
+	c.write(text + "G")
+	raw, err := g.Listen(l, budget.Callers).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = raw.Close() }()
+	_, _ = io.ReadFull(raw, make([]byte, len(text)))
+	_, _ = raw.Read(make([]byte, 1))
+	var drawn int64
+	h := g.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { drawn = g.Used(budget.Callers).Bytes }))
+	for range 2 {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(admission.WithConn(t.Context(), raw), http.MethodGet, "/", nil))
+		raw.(*admission.Conn).Idle()
+	}
+	if want := int64(256 * lines); drawn < want {
+		t.Errorf("got %d bytes drawn for the second request, want %d at least", drawn, want)
+	}
+}
+
 // BenchmarkGate reports the time that a gate adds to a request on a kept connection, as the ratio of the medians
 // of the times with and without it, taken in turn.
 func BenchmarkGate(b *testing.B) {
