--- a/internal/node/admission/conn.go
+++ b/internal/node/admission/conn.go
@@ -19,6 +19,10 @@
 	// serverBuffer is the size of the buffer with which net/http reads, in which the head of a next request may lie.
 	serverBuffer = 4 << 10
 
+	// backgroundRead is the size of the buffer with which net/http awaits the next request, or the end of the connection,
+	// while a request is handled whose body was read. It cancels this request and all later ones if that fails.
+	backgroundRead = 1
+
 	refusalTimeout = 500 * time.Millisecond // In which a client can read why it was refused.
 	refusalRest    = 256 << 10              // Bytes that are read of what it goes on sending.
 )
@@ -38,8 +42,8 @@
 type Conn struct {
 	*net.TCPConn
 	gate *Gate
-	part budget.Part
-	id   uint64 // In the budget.
+	part budget.Part // Of the address at which it was accepted. Connections of Callers may draw from Beside.
+	id   uint64      // In the budget.
 
 	mu      sync.Mutex // Guards the fields below.
 	phase   phase
@@ -48,6 +52,7 @@
 	useful  bool  // The latest request was served.
 	drawn   int64 // For the request.
 	pending int   // Lines that were read with the latest request, and belong to the next ones.
+	limited bool  // The read deadline is that of limitRead.
 }
 
 // Read implements net.Conn. What is read of a head is paid for before it is returned.
@@ -56,13 +61,16 @@
 	if c.part == budget.Nodes {
 		return n, err
 	}
+	if n == 0 && len(p) == backgroundRead && errors.Is(err, os.ErrDeadlineExceeded) && c.unlimitRead() {
+		n, err = c.TCPConn.Read(p)
+	}
 	if n == 0 {
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.headBegun() {
 			c.gate.report(c, HeadTimeout)
 		}
 		return n, err
 	}
-	if r := c.observe(p[:n], len(p) <= serverBuffer); r != "" {
+	if r := c.observe(p[:n], len(p)); r != "" {
 		c.gate.report(c, r)
 		c.refuse(r)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errRefused}
@@ -77,13 +85,17 @@
 	return c.phase == reading
 }
 
-// observe takes note of what was read, and returns why the request is refused, or "". buffered says that it may
-// contain the head of a next request.
-func (c *Conn) observe(p []byte, buffered bool) Reason {
+// observe takes note of what was read, and returns why the request is refused, or "". size is that of the buffer for
+// it: if it is no larger than serverBuffer, what was read may contain the head of a next request.
+func (c *Conn) observe(p []byte, size int) Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == busy {
-		if buffered {
+	// A request is not refused any more once net/http reads in the background, since it is about to be handled.
+	if c.phase == busy || c.begun && size == backgroundRead {
+		switch {
+		case size == backgroundRead: // What was read before is still in the server's buffer.
+			c.pending += bytes.Count(p, []byte{'\n'})
+		case size <= serverBuffer:
 			c.pending = bytes.Count(p, []byte{'\n'}) + 1
 		}
 		return ""
@@ -92,7 +104,8 @@
 	lines := c.head.Lines
 	n := c.head.Count(p)
 	if n == 0 {
-		n, lines = len(p), lines-bytes.Count(p, []byte{'\n'}) // More than the head was asked for.
+		// The head had ended, but net/http goes on reading, which is paid for as well.
+		n, lines = len(p), lines-bytes.Count(p, []byte{'\n'})
 	}
 	if c.head.Bytes > int(c.gate.clients().MaxHead) {
 		return HeadTooLarge
@@ -174,11 +187,11 @@
 // one of the configuration.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limited = false
 	if c.part != budget.Nodes && t.After(now) {
-		c.mu.Lock()
-		p := c.phase
-		c.mu.Unlock()
-		switch p {
+		switch c.phase {
 		case reading:
 			t = now.Add(c.gate.clients().HeaderTimeout)
 		case idle:
@@ -189,6 +202,23 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// limitRead bounds the time in which the rest of the request's body is read.
+func (c *Conn) limitRead(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limited = true
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(d)) // Fails if the connection has ended.
+}
+
+// unlimitRead ends what limitRead began, and reports whether no other deadline was set since.
+func (c *Conn) unlimitRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limited := c.limited
+	c.limited = false
+	return limited && c.TCPConn.SetReadDeadline(time.Time{}) == nil
+}
+
 // refuse tells the client why its request is refused, which has not run, and ends the connection so that it can
 // read that.
 func (c *Conn) refuse(r Reason) {
--- a/internal/node/admission/gate_test.go
+++ b/internal/node/admission/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -196,6 +197,124 @@
 	}
 }
 
+// slowConn is a connection on which each write takes longer than the rest of a body is awaited.
+type slowConn struct{ *admission.Conn }
+
+func (c slowConn) NetConn() net.Conn { return c.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	time.Sleep(1200 * time.Millisecond)
+	return c.Conn.Write(p)
+}
+
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{raw.(*admission.Conn)}, nil
+}
+
+// TestGate_slowReader guards against requests on a kept connection that are cancelled because the response to the upload
+// before them was written slowly.
+func TestGate_slowReader(t *testing.T) {
+	g := &admission.Gate{Limits: admission.NewLimits(0, 0)}
+	address := serve(t, func(l *net.TCPListener) net.Listener { return slowListener{g.Listen(l, budget.Callers)} }, g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Err() != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+		} else if r.URL.Path != "/unread" {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+	})))
+	for _, path := range []string{"/", "/unread"} {
+		c := connect(t, address)
+		for n := range 2 {
+			c.write("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\ntext")
+			if got := c.status(); got != http.StatusOK {
+				t.Errorf("got %d for request %d to %s, want 200", got, n+1, path)
+			}
+		}
+	}
+}
+
+// TestGate_lateEnd guards against responses that are lost because their end comes long after their last bytes: what was
+// written last is in a buffer until then.
+func TestGate_lateEnd(t *testing.T) {
+	g := &admission.Gate{Limits: admission.NewLimits(0, 0)}
+	address := serve(t, func(l *net.TCPListener) net.Listener { return g.Listen(l, budget.Callers) }, g.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "text")
+		// In place of waiting until the time for the write is over.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now())
+	})))
+	c := connect(t, address)
+	for n := range 2 {
+		c.write(request + "\r\n")
+		if got := c.status(); got != http.StatusOK {
+			t.Fatalf("got %d for request %d, want 200 (0: closed)", got, n+1)
+		}
+	}
+}
+
+// TestGate_pipelinedByte guards against a refusal by 503 of a request that runs: net/http reads the first byte of the next one
+// in the background from before the handler is called.
+func TestGate_pipelinedByte(t *testing.T) {
+	const head = request + "\r\n"
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	// Newcomers hold half at most: a connection with the head, and nothing more.
+	all := 2 * (int64(12<<10) + 4*int64(len(head)) + 256*3)
+	g := &admission.Gate{Limits: budget.Limits{Total: budget.Amount{Files: 10, Bytes: all}, Share: 1 << 20}}
+	c := connect(t, l.Addr().String())
+	c.write(head + "G")
+	server, err := g.Listen(l, budget.Callers).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	if _, err := io.ReadFull(server, make([]byte, len(head))); err != nil {
+		t.Fatalf("got %v for the head, want none", err)
+	}
+	if _, err := server.Read(make([]byte, 1)); err != nil {
+		t.Errorf("got %v for the byte after it, want none", err)
+	}
+}
+
+// TestGate_pipelinedLines guards against a head that was read with the request before and is not paid for, because one
+// more byte was read in the background since.
+func TestGate_pipelinedLines(t *testing.T) {
+	const lines = 900
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	g := &admission.Gate{Limits: admission.NewLimits(0, 0)}
+	text := request + "\r\n" + request + strings.Repeat("a:\r\n", lines) + "\r\n"
+	c := connect(t, l.Addr().String())
+	c.write(text + "G")
+	raw, err := g.Listen(l, budget.Callers).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = raw.Close() }()
+	_, _ = io.ReadFull(raw, make([]byte, len(text)))
+	_, _ = raw.Read(make([]byte, 1))
+	var drawn int64
+	h := g.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { drawn = g.Used(budget.Callers).Bytes }))
+	for range 2 {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(admission.WithConn(t.Context(), raw), http.MethodGet, "/", nil))
+		raw.(*admission.Conn).Idle()
+	}
+	if want := int64(256 * lines); drawn < want {
+		t.Errorf("got %d bytes drawn for the second request, want %d at least", drawn, want)
+	}
+}
+
 // BenchmarkGate reports the time that a gate adds to a request on a kept connection, as the ratio of the medians
 // of the times with and without it, taken in turn.
 func BenchmarkGate(b *testing.B) {
--- a/internal/node/admission/handler.go
+++ b/internal/node/admission/handler.go
@@ -38,13 +38,14 @@
 		defer func() {
 			c.endRequest(rec.isUseful())
 			rec.limitRead(unreadBodyTimeout)
+			rec.limitWrite() // What is in the buffers is written now, and may be older.
 		}()
 		if !c.beginRequest(bodyCost(r.ContentLength)) {
 			g.report(c, MemoryUsedUp)
 			refuse(rec, http.StatusServiceUnavailable)
 			return
 		}
-		if limit := g.clients().MaxBody; limit > 0 && (c.part == budget.Callers || c.part == budget.Beside) {
+		if limit := g.clients().MaxBody; limit > 0 && c.part == budget.Callers {
 			if r.ContentLength > limit {
 				g.report(c, BodyTooLarge)
 				refuse(rec, http.StatusRequestEntityTooLarge)
@@ -90,15 +91,19 @@
 // head of a response.
 func (r *recorder) limitRead(d time.Duration) {
 	if r.hasBody {
-		// Fails if the connection has ended.
-		_ = r.conn.SetReadDeadline(time.Now().Add(d))
+		r.conn.limitRead(d)
 	}
 }
 
-// Write implements http.ResponseWriter.
-func (r *recorder) Write(p []byte) (int, error) {
+// limitWrite bounds the time in which the client has to read what is written next.
+func (r *recorder) limitWrite() {
 	// Fails if the connection has ended.
 	_ = r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) {
+	r.limitWrite()
 	return r.ResponseWriter.Write(p)
 }
 
@@ -106,7 +111,7 @@
 func (r *recorder) WriteHeader(status int) {
 	r.status = status
 	r.limitRead(duplexTimeout)
-	_ = r.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	r.limitWrite()
 	r.ResponseWriter.WriteHeader(status)
 }
 
