--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -33,11 +33,17 @@
 	Public   bool    `json:"public"`
 }
 
-// publish writes the first configuration, with one service.
+// publish writes the first configuration, with the services of the routes.
 func (f *fleet) publish(tenants []tenant, routes []route) error {
+	var services []any
+	for i, r := range routes {
+		if !slices.ContainsFunc(routes[:i], func(o route) bool { return o.Service == r.Service }) {
+			services = append(services, map[string]any{"name": r.Service, "health_path": "/healthz"})
+		}
+	}
 	value, err := json.Marshal(map[string]any{
 		"version":       7,
-		"services":      []any{map[string]any{"name": service, "health_path": "/healthz"}},
+		"services":      services,
 		"tenants":       tenants,
 		"virtual_hosts": []any{map[string]any{"host": host, "paths": routes}},
 		"limits":        map[string]any{"max_header_bytes": 32768, "max_body_bytes": 1 << 20, "header_timeout_s": 5, "idle_timeout_s": 20},
@@ -50,7 +56,7 @@
 	return nil
 }
 
-// service is the name of the service of all cases.
+// service is the name of the service of most cases.
 const service = "reservation"
 
 // arrivals are the requests that backend servers ran.
@@ -78,11 +84,11 @@
 func (f *fleet) start(nodes, slots int, work time.Duration, key string) (*arrivals, error) {
 	a := &arrivals{fleet: f}
 	for range nodes {
-		n, err := f.add()
+		n, err := f.add(service)
 		if err != nil {
 			return nil, err
 		}
-		if _, err := n.addServer(slots, work, a.add); err != nil {
+		if _, err := n.addServer(serverSettings{Slots: slots, Work: work}, a.add); err != nil {
 			return nil, err
 		}
 	}
@@ -160,7 +166,7 @@
 
 // addProcess starts the backend server beside a node as a process of its own.
 func (n *node) addProcess(s serverSettings) (*serverProcess, error) {
-	s.Listen, s.Control, s.Service = n.address(portApp), n.address(portControl), service
+	s.Listen, s.Control, s.Service = n.address(portApp), n.address(portControl), n.service
 	text, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
@@ -198,7 +204,7 @@
 		return false, err
 	}
 	for range crashServers {
-		n, err := f.add()
+		n, err := f.add(service)
 		if err != nil {
 			return false, err
 		}
--- a/review/standin2/deadly.go
+++ b/review/standin2/deadly.go
@@ -99,7 +99,7 @@
 		s.Deadly = deadlyPath
 	}
 	for range 4 {
-		n, err := f.add()
+		n, err := f.add(service)
 		if err != nil {
 			return false, err
 		}
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -31,6 +31,9 @@
 // restartDelay is the time after which the platform restarts a process that has ended.
 const restartDelay = 500 * time.Millisecond
 
+// graceTime is grace_s.
+const graceTime = 6 * time.Second
+
 // fleet is a deployment in one zone: the store, and machines with a node and a backend server each.
 type fleet struct {
 	program string
@@ -119,8 +122,9 @@
 
 // node is the machine of a node, which is restarted whenever its process ends.
 type node struct {
-	fleet  *fleet
-	number int
+	fleet   *fleet
+	number  int
+	service string // Of the backend server beside it.
 
 	mu      sync.Mutex
 	process *os.Process
@@ -128,9 +132,9 @@
 	gone    chan struct{} // Closed once no process is started any more.
 }
 
-// add starts a node beside a backend server of the service.
-func (f *fleet) add() (*node, error) {
-	n := &node{fleet: f, number: len(f.nodes) + 2, gone: make(chan struct{})}
+// add starts a node beside a backend server of a service.
+func (f *fleet) add(service string) (*node, error) {
+	n := &node{fleet: f, number: len(f.nodes) + 2, service: service, gone: make(chan struct{})}
 	if err := os.WriteFile(n.path("conf"), n.settings(), 0o600); err != nil {
 		return nil, err
 	}
@@ -187,7 +191,7 @@
 bounds.probes_per_s=3
 bounds.floor_share=0.7
 `)
-	fmt.Fprintf(&b, "app_addr=%s:%d\nservice=%s\nplatform_api.address=%s\nplatform_api.form=kv\n", ip, portApp, service, n.fleet.address(1, portStore))
+	fmt.Fprintf(&b, "app_addr=%s:%d\nservice=%s\nplatform_api.address=%s\nplatform_api.form=kv\n", ip, portApp, n.service, n.fleet.address(1, portStore))
 	b.WriteString("platform_api.writes_per_s=400\nplatform_api.reads_per_s=2000\nplatform_api.history_s=20\nplatform_api.value_bytes=1048576\nplatform_api.ttl_min_s=1\n")
 	return b.Bytes()
 }
@@ -240,6 +244,22 @@
 	}
 }
 
+// terminate stops the process as the platform does: with SIGTERM, and with SIGKILL after graceTime.
+func (n *node) terminate() {
+	n.mu.Lock()
+	p := n.process
+	n.mu.Unlock()
+	n.signal(syscall.SIGTERM)
+	time.AfterFunc(graceTime, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.process == p && p != nil {
+			n.fleet.note("SIGKILL to node %d", n.number)
+			_ = p.Kill()
+		}
+	})
+}
+
 func (n *node) isEnded() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,7 +20,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"path":   runPath,
-	"quota":  runQuota,
+	"lost":   runLost,
 	"crash":  runCrash,
 	"deadly": runDeadly,
 	"half":   runHalf,
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -35,9 +35,10 @@
 	Service         string
 	Slots           int
 	Work            time.Duration
-	Form            string // Of its responses: "" is a whole one with a length.
-	Deadly          string // A request to this path crashes the process, if not "": as soon as it begins to run,
-	DeadlyAnswer    bool   // or in the middle of its response.
+	LongWork        time.Duration // Of requests to paths that end in "long".
+	Form            string        // Of its responses: "" is a whole one with a length.
+	Deadly          string        // A request to this path crashes the process, if not "": as soon as it begins to run,
+	DeadlyAnswer    bool          // or in the middle of its response.
 }
 
 // server is a backend server. It runs every request that has an identifier and expects it.
@@ -67,8 +68,9 @@
 }
 
 // addServer starts the backend server beside a node, in this process.
-func (n *node) addServer(slots int, work time.Duration, onRun func(a arrival)) (*server, error) {
-	return newServer(serverSettings{Listen: n.address(portApp), Control: n.address(portControl), Service: service, Slots: slots, Work: work}, onRun)
+func (n *node) addServer(s serverSettings, onRun func(a arrival)) (*server, error) {
+	s.Listen, s.Control, s.Service = n.address(portApp), n.address(portControl), n.service
+	return newServer(s, onRun)
 }
 
 // serveAlone runs a backend server as a process of its own, which writes what it runs to a file.
@@ -199,7 +201,11 @@
 	if _, err := io.CopyN(io.Discard, r, q.length); err != nil {
 		return false
 	}
-	time.Sleep(b.Work)
+	work := b.Work
+	if strings.HasSuffix(q.target, "long") {
+		work = b.LongWork
+	}
+	time.Sleep(work)
 	field := "Request-Id: " + id + "\r\nResponse-Seal: " + seal(id) + "\r\n"
 	text := bodyOf(id)
 	if b.DeadlyAnswer && q.target == b.Deadly {
