--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -13,6 +13,7 @@
 	"slow-reader":    playSlowReader,
 	"leaving-server": playLeavingServer,
 	"deadly-upload":  playDeadlyUpload,
+	"deadly-kills":   playDeadlyKills,
 }
 
 const (
@@ -135,21 +136,66 @@
 	return b.String()[:size]
 }
 
-// playDeadlyUpload sends a long upload again and again that crashes each server which begins to run it.
-func playDeadlyUpload(f *fleet) (bool, error) {
+// startFour starts four machines in two zones, whose servers are started again after a crash.
+func (f *fleet) startFour() error {
 	for _, zone := range []string{"zone-a", "zone-a", "zone-b", "zone-b"} {
 		if err := f.add(zone, service); err != nil {
-			return false, err
+			return err
 		}
 	}
 	if err := f.configure(7, service); err != nil {
-		return false, err
+		return err
 	}
 	if err := f.startAll(); err != nil {
-		return false, err
+		return err
 	}
 	f.restartServers(backAfter)
 	time.Sleep(2 * contact) // All machines are in touch.
+	return nil
+}
+
+// rounds is the number of times that a deadly request comes to a fleet, all of whose nodes are killed in between.
+const rounds = 4
+
+// playDeadlyKills sends a short deadly request now and then, and kills all nodes at once a few times.
+func playDeadlyKills(f *fleet) (bool, error) {
+	if err := f.startFour(); err != nil {
+		return false, err
+	}
+	for round := range rounds {
+		for i := range 3 {
+			m := f.list[(round+i)%len(f.list)]
+			id := fmt.Sprintf("order-%d-%d", round, i)
+			f.note("client: %s", f.send(m, request{id: id, method: "POST", target: "/up/deadly/order", body: "the same", deadline: 4 * time.Second}))
+			time.Sleep(backAfter)
+		}
+		if !f.trouble || round == rounds-1 {
+			continue
+		}
+		f.note("all nodes are killed")
+		for _, m := range f.list {
+			_ = m.node.cmd.Process.Kill()
+		}
+		for _, m := range f.list {
+			<-m.node.done
+			if err := f.startNode(m); err != nil {
+				return false, err
+			}
+		}
+		if err := f.awaitReady(); err != nil {
+			return false, err
+		}
+		f.note("all nodes are ready again")
+		time.Sleep(contact + time.Second) // All machines are in touch.
+	}
+	return f.judgeDeadly()
+}
+
+// playDeadlyUpload sends a long upload again and again that crashes each server which begins to run it.
+func playDeadlyUpload(f *fleet) (bool, error) {
+	if err := f.startFour(); err != nil {
+		return false, err
+	}
 	target := "/up/deadly/plan"
 	if !f.trouble {
 		target = "/up/harmless/plan"
