--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -14,6 +14,7 @@
 	"leaving-server": playLeavingServer,
 	"deadly-upload":  playDeadlyUpload,
 	"deadly-kills":   playDeadlyKills,
+	"homes":          playHomes,
 }
 
 const (
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -30,9 +30,11 @@
 // fleet is a small deployment: the store, and machines with a node and a backend server each.
 type fleet struct {
 	trouble bool
+	rate    int    // Of the tenant, in requests per second, and its burst; 0 means no limit.
 	dir     string // Temporary folder.
 	store   *store
 	list    []*machine
+	port    int // The latest that was given to a process, counted from the first.
 
 	watchers sync.WaitGroup // Of servers that are started again.
 
@@ -61,16 +63,20 @@
 	_, _ = fmt.Fprintf(f.record, "%s "+format+"\n", append([]any{stamp()}, args...)...)
 }
 
-// freePort returns an address on loopback that nobody listens on, with a port below those of outgoing connections.
-func freePort() (string, int, error) {
-	const first, count, tries = 12000, 20000, 100
+// freePort returns an address on loopback that nobody listens on, with a port below those of outgoing connections. Each call
+// returns another one.
+func (f *fleet) freePort() (string, int, error) {
+	const first, count, tries = 12000, 20000, 1000
+	if f.port == 0 {
+		f.port = rand.IntN(count)
+	}
 	var err error
 	for range tries {
-		port := first + rand.IntN(count)
+		f.port = (f.port + 1) % count
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+f.port)); err == nil {
 			_ = l.Close()
-			return l.Addr().String(), port, nil
+			return l.Addr().String(), first + f.port, nil
 		}
 	}
 	return "", 0, err
@@ -80,13 +86,13 @@
 func (f *fleet) add(zone, service string) error {
 	m := &machine{name: fmt.Sprintf("machine-%d", len(f.list)+1), zone: zone, service: service}
 	for _, to := range []*string{&m.outbound, &m.inbound, &m.ready, &m.control, &m.app} {
-		a, _, err := freePort()
+		a, _, err := f.freePort()
 		if err != nil {
 			return err
 		}
 		*to = a
 	}
-	_, metrics, err := freePort()
+	_, metrics, err := f.freePort()
 	if err != nil {
 		return err
 	}
@@ -282,7 +288,7 @@
 	text, err := json.Marshal(map[string]any{
 		"version": version, "services": listed,
 		"limits":        map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
-		"tenants":       []map[string]any{{"name": "tenant-one", "api_keys": []string{key}, "priority": 1, "rate_per_s": 0, "burst": 0}},
+		"tenants":       []map[string]any{{"name": "tenant-one", "api_keys": []string{key}, "priority": 1, "rate_per_s": f.rate, "burst": f.rate}},
 		"virtual_hosts": []map[string]any{{"host": host, "paths": paths}},
 	})
 	if err != nil {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -20,6 +20,35 @@
 	leases   map[int64]storeLease
 	lastID   int64
 	listener net.Listener
+	away     bool // Calls get their connections reset, and nothing is done.
+}
+
+// setAway begins or ends an outage.
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// serve returns a handler that resets connections while the store is away.
+func (s *store) serve(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		s.mu.Unlock()
+		if !away {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	})
 }
 
 type storeItem struct {
@@ -62,7 +91,7 @@
 	mux.HandleFunc("POST /filbertturn/kv-lease", s.grant)
 	mux.HandleFunc("POST /filbertturn/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /filbertturn/kv-lease-end/{id}", s.endLease)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: s.serve(mux), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	return s, nil
 }
