Count in review/14 only requests that were sent in the window

The rule counts requests that are both sent and run in a window; the script also counted those sent before it. The record also has what was sent and answered.

--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -39,7 +39,6 @@
 type request struct {
 	id, method, target, body string
 	deadline                 time.Duration
-	quiet                    bool          // It is not in the record unless it runs.
 	slow                     bool          // Its client has a small receive buffer and short segments,
 	first                    int           // reads as many bytes of the body,
 	pause                    time.Duration // waits that long, and reads the rest.
@@ -69,9 +68,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(r.deadline + 2*time.Second))
-	if !r.quiet {
-		f.note("client sends %s %s %s to %s, deadline %s", r.id, r.method, r.target, m.name, r.deadline)
-	}
+	f.note("client sends %s %s %s to %s, deadline %s", r.id, r.method, r.target, m.name, r.deadline)
 	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		r.method, r.target, host, r.id, r.deadline.Milliseconds(), key, len(r.body), r.body)
 	if err != nil {
--- a/review/standin3/quota.go
+++ b/review/standin3/quota.go
@@ -119,45 +119,71 @@
 			continue
 		}
 		open.Go(func() {
-			f.send(m, request{id: fmt.Sprintf("q-%d-%d", number, i), method: "GET", target: "/app/q?size=50&work_ms=5", deadline: 2 * time.Second, quiet: true})
+			a := f.send(m, request{id: fmt.Sprintf("q-%d-%d", number, i), method: "GET", target: "/app/q?size=50&work_ms=5", deadline: 2 * time.Second})
+			f.note("client: %s", a)
 		})
 	}
 }
 
-// judgeQuota reports whether more requests ran in a window than the tenant's limit allows.
-func (f *fleet) judgeQuota() (bool, error) {
+// run is a request that was sent and began to run.
+type run struct {
+	sent, ran time.Time
+}
+
+// runs returns the requests of the record that ran, in the order in which they were sent.
+func (f *fleet) runs() ([]run, error) {
 	text, err := os.ReadFile(f.record.Name())
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	first := make(map[string]time.Time)
+	sent, ran := make(map[string]time.Time), make(map[string]time.Time)
 	for line := range strings.Lines(string(text)) {
 		fields := strings.Fields(line)
-		if len(fields) < 5 || fields[3] != "runs" || !strings.HasPrefix(fields[4], "q-") {
+		if len(fields) < 5 {
 			continue
 		}
 		at, err := time.Parse(stampLayout, fields[0])
 		if err != nil {
-			return false, err
+			continue
 		}
-		if known, ok := first[fields[4]]; !ok || at.Before(known) {
-			first[fields[4]] = at
+		switch {
+		case fields[1] == "client" && fields[2] == "sends":
+			sent[fields[3]] = at
+		case fields[1] == "server" && fields[3] == "runs" && ran[fields[4]].IsZero():
+			ran[fields[4]] = at
 		}
 	}
-	var runs []time.Time
-	for _, at := range first {
-		runs = append(runs, at)
+	var list []run
+	for id, at := range ran {
+		if begin, ok := sent[id]; ok && strings.HasPrefix(id, "q-") {
+			list = append(list, run{begin, at})
+		}
+	}
+	slices.SortFunc(list, func(a, b run) int { return a.sent.Compare(b.sent) })
+	return list, nil
+}
+
+// judgeQuota reports whether more requests were both sent and run in a window than the tenant's limit allows.
+func (f *fleet) judgeQuota() (bool, error) {
+	list, err := f.runs()
+	if err != nil {
+		return false, err
 	}
-	slices.SortFunc(runs, time.Time.Compare)
-	most, from, start := 0, time.Time{}, 0
-	for i, at := range runs {
-		for at.Sub(runs[start]) >= quotaWindow {
-			start++
+	most, from := 0, time.Time{}
+	for i, first := range list {
+		end, n := first.sent.Add(quotaWindow), 0
+		for _, r := range list[i:] {
+			if !r.sent.Before(end) {
+				break
+			}
+			if r.ran.Before(end) {
+				n++
+			}
 		}
-		if n := i - start + 1; n > most {
-			most, from = n, runs[start]
+		if n > most {
+			most, from = n, first.sent
 		}
 	}
-	f.note("of %d requests that ran at most %d did in %s, from %s on; %.0f are allowed", len(runs), most, quotaWindow, from.Format(stampLayout), quotaBound)
+	f.note("of %d requests that ran at most %d were sent and ran in %s, from %s on; %.0f are allowed", len(list), most, quotaWindow, from.Format(stampLayout), quotaBound)
 	return float64(most) > quotaBound, nil
 }
